--- /dev/null
+++ b/cmd/cairnlane/main.go
@@ -0,0 +1,129 @@
+// Command cairnlane is one playback replica: it takes requests from routers, decides with the policy
+// module what to run, refuse or hold, and has the engine on the same machine do the work.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"irisbeam/internal/assert"
+	"irisbeam/internal/catalog"
+	"irisbeam/internal/clock"
+	"irisbeam/internal/counters"
+	"irisbeam/internal/engine"
+	"irisbeam/internal/front"
+	"irisbeam/internal/replica"
+	"irisbeam/internal/settings"
+)
+
+const (
+	spareSockets = 48 // descriptors kept for the links, the poller and the runtime
+	memoryShare  = 0.7
+	resultShare  = 8 // an eighth of the memory may hold results for repeats
+	exitBefore   = 60 * time.Millisecond
+	drainPoll    = 5 * time.Millisecond
+)
+
+func main() {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	cfg, err := settings.Load(os.Getenv("RELAY_CONFIG"))
+	if err == nil {
+		err = run(cfg)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cairnlane:", err)
+		os.Exit(1)
+	}
+}
+
+// limit fits the runtime into the limits of the program.
+func limit(l settings.Limits) {
+	runtime.GOMAXPROCS(max(2, int(l.Cores+0.999)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
+}
+
+func run(cfg *settings.Replica) error {
+	limit(cfg.Limits)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+
+	set := new(counters.Set)
+	clk := clock.NewSystem()
+	link := engine.NewLink(cfg.Engine, set)
+	var server *front.Server
+	rep, err := replica.New(replica.Config{Policy: cfg.Policy, OnCores: cfg.OnCores,
+		ResultBytes: int(cfg.Limits.MemoryMB << 20 / resultShare),
+		CloseIdle:   func(after time.Duration) { server.CloseIdle(after) }}, clk, link, set)
+	if err != nil {
+		return err
+	}
+	server, err = front.Listen(cfg.Listen, max(cfg.Limits.Sockets-spareSockets, 1), rep, clk.Now, set)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve() }()
+	go server.Sweep(ctx)
+	go link.Keep(ctx, rep)
+	reporter := catalog.NewReporter(cfg.Directory, cfg.Name, set)
+	go reporter.Keep(ctx)
+	log.Printf("%s serves at %s", cfg.Name, cfg.Listen)
+
+	leaving := false
+	for {
+		select {
+		case err := <-failed:
+			if !leaving {
+				return fmt.Errorf("the listener ended: %w", err)
+			}
+			failed = nil
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				report(set)
+				continue
+			}
+			if leaving {
+				continue
+			}
+			leaving = true
+			go func() {
+				reporter.Leave()
+				leave(clk, rep, server, cfg)
+				report(set)
+				os.Exit(0)
+			}()
+		}
+	}
+}
+
+// leave drains: work goes on through the grace, then routers are asked to go, and the process ends as
+// soon as they have, at the latest just before it would be stopped.
+func leave(clk *clock.System, rep *replica.Replica, server *front.Server, cfg *settings.Replica) {
+	stopAt := clk.Now() + cfg.Stop
+	rep.Drain(cfg.Stop)
+	time.Sleep(min(cfg.Policy.DrainGrace, cfg.Stop/2))
+	server.Leave()
+	for clk.Now() < stopAt-exitBefore {
+		if server.Connections() == 0 && rep.Owed() == 0 {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	for !server.Flushed() && clk.Now() < stopAt {
+		time.Sleep(drainPoll)
+	}
+}
+
+// report prints the counters.
+func report(set *counters.Set) {
+	log.Printf("counters: %v invariants_broken=%d", set, assert.Failures())
+}
--- a/cmd/simhost/fleet.go
+++ b/cmd/simhost/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"irisbeam/internal/settings"
 	"irisbeam/internal/wire"
 	"irisbeam/policy"
 )
@@ -28,12 +29,6 @@
 	"ResetByPeer": policy.Interrupted, "Canceled": policy.Cancelled, "Ignored": policy.Moot,
 }
 
-var semantics = map[string]policy.Semantics{
-	"read_like": policy.Safe, "idempotency_key": policy.Keyed, "non_idempotent": policy.Unsafe,
-}
-
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-
 // handle passes one event on; a panic in the module becomes a crash of its instance.
 func (f *fleet) handle(moment int64, e *wire.Event) (err error) {
 	if e.Name == "hello" {
@@ -47,7 +42,7 @@
 		return nil
 	}
 	defer in.reportPanic()
-	in.dispatch(micros(moment), e)
+	in.dispatch(settings.Micros(moment), e)
 	return nil
 }
 
@@ -68,15 +63,15 @@
 	case "inbound":
 		in.arrive(now, e)
 	case "result":
-		in.ctl.Done(now, id, outcomes[e.Status], micros(e.Wait))
+		in.ctl.Done(now, id, outcomes[e.Status], settings.Micros(e.Wait))
 	case "wants-call":
 		in.ctl.NeedsCall(now, id)
 	case "came-back":
-		in.ctl.Called(now, id, outcomes[e.Status], micros(e.Wait))
+		in.ctl.Called(now, id, outcomes[e.Status], settings.Micros(e.Wait))
 	case "fired":
 		in.ctl.Tick(now, policy.Gauges{OnCores: e.Usage["on_cores"]})
 	case "wind-down":
-		in.ctl.Drain(now, micros(e.Due))
+		in.ctl.Drain(now, settings.Micros(e.Due))
 	case "expired":
 		in.ctl.Gone(now, id)
 	case "stop":
@@ -92,12 +87,12 @@
 	}
 	in.ctl.Arrive(now, policy.Request{ID: policy.RequestID(e.Ticket), Class: class,
 		Retry: e.Retry, Caller: e.Caller, KB: e.KB, Rank: e.Rank, Earlier: policy.RequestID(e.Earlier),
-		Expected: micros(e.Expected), Key: e.Key, Waited: micros(e.Backlog), Due: micros(e.Due)})
+		Expected: settings.Micros(e.Expected), Key: e.Key, Waited: settings.Micros(e.Backlog), Due: settings.Micros(e.Due)})
 }
 
 // begin builds a new instance from its settings, in place of any former life.
 func (f *fleet) begin(moment int64, e *wire.Event) error {
-	boot, err := wire.DecodeBoot(e.Boot)
+	boot, err := settings.Decode(e.Boot)
 	if err != nil {
 		return fmt.Errorf("instance %q: %w", e.Who, err)
 	}
@@ -107,7 +102,7 @@
 		in.classes[l.Name] = i
 	}
 	defer in.reportPanic()
-	ctl, err := policy.New(micros(moment), config(boot, e.Seed), in)
+	ctl, err := policy.New(settings.Micros(moment), boot.Policy(e.Seed), in)
 	if err != nil {
 		in.crash(err.Error())
 		return nil
@@ -115,33 +110,3 @@
 	in.ctl = ctl
 	return nil
 }
-
-// config translates the settings to the module's terms.
-func config(b *wire.Boot, seed int64) policy.Config {
-	fam, g := &b.Family, &b.Guarantees
-	c := policy.Config{Seed: seed, Cores: fam.Cores, Cold: fam.Cold, ColdFrom: g.ColdFrom,
-		ColdFor: micros(g.Cold), MemoryKB: fam.MemoryKB, RunFactor: fam.Blowup, KeyKB: fam.KeyKB,
-		FallFactor: g.FallMultiple, AnswerSlack: micros(g.AnswerSlack), DrainGrace: micros(g.DrainGrace),
-		Callers: fam.Upstreams, MarksRetry: b.Callers.MarksRetry, Readiness: fam.Readiness,
-		Heeded: micros(fam.Heeded), FairCalls: fam.FairCalls, CallsOver: micros(fam.CallsOver), CallLinger: micros(fam.StaysFor),
-		ShareFor: micros(fam.ShareFor), IdleMax: micros(fam.CallerIdle),
-		WorthByWork: b.WorthBy == "work"}
-	c.Halt = map[string]policy.Preemption{"drop": policy.DropHalt, "pause": policy.PauseHalt}[fam.Preemption]
-	c.Signal = map[string]policy.SignalKind{"min_rank": policy.RankFloor, "tokens": policy.CallerTokens,
-		"bias": policy.ArrivalChance}[fam.Say]
-	c.Dependency = map[string]policy.DependencyKind{"common": policy.SharedDependency,
-		"next_hop": policy.NextTier}[fam.DependsOn]
-	if b.Limits.RetryAfter {
-		c.MaxHoldOff = micros(b.Limits.MaxRetryAfter)
-	}
-	for i, l := range b.Lanes {
-		cl := policy.Class{Name: l.Name, Aim: micros(l.Aim), Deadline: micros(l.Deadline),
-			Worth: l.Importance, LateWorth: l.LateWorth, Semantics: semantics[l.Semantics],
-			Window: micros(l.Window)}
-		if i < len(fam.ClassSkip) {
-			cl.SkipWorth = fam.ClassSkip[i]
-		}
-		c.Classes = append(c.Classes, cl)
-	}
-	return c
-}
--- /dev/null
+++ b/internal/assert/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package assert
+
+const panics = true
--- /dev/null
+++ b/internal/engine/session.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Events takes what the engine tells. The calls come one at a time, in the order of the notices.
+type Events interface {
+	// Done ends a run. The result is only lent for the call.
+	Done(id string, end End, took time.Duration, result []byte)
+	// Rejected says that the engine did not carry out a command for this request.
+	Rejected(id string)
+	// Gauges brings the gauges, in the order of the settings.
+	Gauges(values []float64)
+	// Attached says that the link is up and all that was missed has been told: whatever runs by our
+	// books and was not told of may be sent again. Run takes requests once open was called.
+	Attached(open func())
+}
+
+// memory is what outlives a link: the number of the last notice read.
+type memory struct{ last int64 }
+
+// session is the state of one link, from ATTACH on, with no I/O of its own. Only ready, asked and
+// tags may be used from elsewhere than the reader.
+type session struct {
+	memory *memory
+	events Events
+	send   func(encode func([]byte) []byte)
+	in     []byte
+	hello  bool
+	sync   string
+	ready  atomic.Bool  // all that was missed has been read
+	asked  atomic.Int32 // STATs that are open
+	tags   atomic.Int64
+}
+
+func (s *session) begin() {
+	s.send(func(dst []byte) []byte { return appendAttach(dst, s.memory.last) })
+}
+
+// feed reads what has come in and tells events of it.
+func (s *session) feed(p []byte) error {
+	s.in = append(s.in, p...)
+	buf := s.in
+	for {
+		n, rest, done, err := nextNotice(buf)
+		if err != nil {
+			return err
+		}
+		if !done {
+			break
+		}
+		if err := s.take(n); err != nil {
+			return err
+		}
+		buf = rest
+	}
+	s.in = append(s.in[:0], buf...)
+	return nil
+}
+
+func (s *session) take(n notice) error {
+	if !s.hello && n.kind != "HELLO" {
+		return fmt.Errorf("%w: %s before HELLO", ErrMalformed, n.kind)
+	}
+	switch n.kind {
+	case "HELLO":
+		s.hello = true
+		s.sync = s.stat() // what was missed stands between HELLO and the answer to this
+	case "DONE", "NOTE":
+		if n.number <= s.memory.last { // told on an earlier link
+			return nil
+		}
+		s.memory.last = n.number
+		if n.kind == "DONE" {
+			s.events.Done(n.id, n.end, n.took, n.result)
+		}
+	case "STATS":
+		s.answered(n.tag)
+		s.events.Gauges(n.gauges)
+	case "NO":
+		if n.command == "STAT" {
+			s.answered(n.id)
+		} else {
+			s.events.Rejected(n.id)
+		}
+	}
+	return nil
+}
+
+func (s *session) answered(tag string) {
+	s.asked.Add(-1)
+	if tag == s.sync && !s.ready.Load() {
+		s.events.Attached(func() { s.ready.Store(true) })
+	}
+}
+
+// stat asks for the gauges under a new tag.
+func (s *session) stat() string {
+	s.asked.Add(1)
+	tag := "g" + strconv.FormatInt(s.tags.Add(1), 10)
+	s.send(func(dst []byte) []byte { return appendStat(dst, tag) })
+	return tag
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,204 @@
+// Package front holds the routers' side: the listener, the router connections as objects with
+// callbacks, and the translation of Thrift calls to neutral requests and answers.
+package front
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"irisbeam/internal/counters"
+	"irisbeam/internal/outbox"
+	"irisbeam/internal/replica"
+)
+
+// Core takes requests and gives their answers. The replica is one.
+type Core interface {
+	Arrive(q replica.Request) error
+	Turned() // a call was malformed
+	Healthy() bool
+	CurrentSignal() replica.Signal
+}
+
+const (
+	outputBound  = 512 << 10 // bytes that a router may leave unread
+	writeTimeout = 3 * time.Second
+	idleSweep    = 500 * time.Millisecond
+)
+
+// Server accepts router connections.
+type Server struct {
+	core  Core
+	now   func() time.Duration
+	most  int
+	ln    netpoll.Listener
+	loop  netpoll.EventLoop
+	count struct{ accepted, turned, closed, garbage, bytesIn, bytesOut *counters.Counter }
+
+	mu        sync.Mutex
+	conns     map[netpoll.Connection]*conn
+	closeIdle time.Duration // 0 leaves idle connections to the routers
+	leaving   bool
+}
+
+// conn is one router connection.
+type conn struct {
+	*session
+	out *outbox.Box
+}
+
+// Listen opens the listener at addr. At most so many connections are accepted.
+func Listen(addr string, most int, core Core, now func() time.Duration, set *counters.Set) (*Server, error) {
+	ln, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for routers: %w", err)
+	}
+	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[netpoll.Connection]*conn{}}
+	s.count.accepted, s.count.turned = set.Get("connections_accepted"), set.Get("connections_over_limit")
+	s.count.closed, s.count.garbage = set.Get("connections_closed"), set.Get("connections_ended_for_garbage")
+	s.count.bytesIn, s.count.bytesOut = set.Get("bytes_in"), set.Get("bytes_out")
+	s.loop, err = netpoll.NewEventLoop(s.read, netpoll.WithOnPrepare(s.prepare))
+	if err != nil {
+		return nil, fmt.Errorf("listen for routers: %w", err)
+	}
+	return s, nil
+}
+
+// Serve accepts connections until the listener closes.
+func (s *Server) Serve() error { return s.loop.Serve(s.ln) }
+
+type connKey struct{}
+
+// prepare sets up a connection before anything is read from it.
+func (s *Server) prepare(nc netpoll.Connection) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx := context.Background()
+	if len(s.conns) >= s.most {
+		s.count.turned.Inc()
+		nc.Close()
+		return ctx
+	}
+	s.count.accepted.Inc()
+	nc.SetWriteTimeout(writeTimeout)
+	c := &conn{}
+	c.out = outbox.New(nc, outputBound, func(error) { nc.Close() })
+	c.session = &session{core: s.core, now: s.now, used: s.now(), send: func(encode func([]byte) []byte) {
+		if err := c.out.Put(encode); err != nil {
+			go nc.Close() // its callbacks take locks that the sender may hold
+		}
+	}}
+	s.conns[nc] = c
+	nc.AddCloseCallback(func(nc netpoll.Connection) error {
+		s.mu.Lock()
+		delete(s.conns, nc)
+		s.mu.Unlock()
+		s.count.closed.Inc()
+		c.end()
+		c.out.Close()
+		return nil
+	})
+	if s.leaving {
+		c.part()
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// read is netpoll's callback: something has come in on a connection.
+func (s *Server) read(ctx context.Context, nc netpoll.Connection) error {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return nc.Close()
+	}
+	r := nc.Reader()
+	p, err := r.Next(r.Len())
+	if err == nil {
+		s.count.bytesIn.Add(len(p))
+		err = c.feed(p)
+	}
+	if err != nil { // garbage ends this connection only
+		s.count.garbage.Inc()
+		log.Printf("router connection %v: %v", nc.RemoteAddr(), err)
+		nc.Close()
+		return err
+	}
+	return r.Release()
+}
+
+// CloseIdle sets how long a connection may carry nothing before it is closed.
+func (s *Server) CloseIdle(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeIdle = after
+}
+
+// Sweep closes idle connections until ctx ends.
+func (s *Server) Sweep(ctx context.Context) {
+	tick := time.NewTicker(idleSweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, nc := range s.idleOnes() {
+			nc.Close()
+		}
+	}
+}
+
+func (s *Server) idleOnes() []netpoll.Connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idle []netpoll.Connection
+	for nc, c := range s.conns {
+		if s.closeIdle > 0 && c.idle(s.closeIdle) && nc.Reader().Len() == 0 {
+			idle = append(idle, nc)
+		}
+	}
+	return idle
+}
+
+// Leave stops the listening, so that routers are refused at once, and asks those connected to send
+// nothing new. The listening socket is shut down rather than closed: netpoll closes its descriptor
+// twice, which could hit a connection that has got the same number in between.
+func (s *Server) Leave() {
+	if err := syscall.Shutdown(s.ln.Fd(), syscall.SHUT_RD); err != nil {
+		log.Print("stop listening: ", err)
+	}
+	s.mu.Lock()
+	s.leaving = true
+	all := make([]*conn, 0, len(s.conns))
+	for _, c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.part()
+	}
+}
+
+// Connections tells how many router connections are open.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Flushed tells whether all answers have been taken by their connections.
+func (s *Server) Flushed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if !c.out.Empty() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/outbox/outbox.go
@@ -0,0 +1,93 @@
+// Package outbox holds the output of one connection: whoever answers only appends to it, and one
+// writer goroutine, alive as long as the connection, folds all that has gathered into one write.
+// So a peer that reads slowly stalls its own writer and nobody else.
+package outbox
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// ErrFull says that the peer has not read for so long that the bound was reached.
+var ErrFull = errors.New("outbox: the peer does not read")
+
+// ErrClosed says that the box takes no more.
+var ErrClosed = errors.New("outbox: closed")
+
+// Box is a bounded output buffer in front of a blocking writer.
+type Box struct {
+	sink   io.Writer
+	bound  int
+	failed func(error)
+
+	mu       sync.Mutex
+	work     sync.Cond
+	buffered []byte
+	spare    []byte
+	writing  int // bytes handed to the sink and not yet taken by it
+	closed   bool
+}
+
+// New starts the writer of a connection. failed is called once, on the writer's goroutine, if a write fails.
+func New(sink io.Writer, bound int, failed func(error)) *Box {
+	b := &Box{sink: sink, bound: bound, failed: failed}
+	b.work.L = &b.mu
+	go b.write()
+	return b
+}
+
+// Put appends what encode adds to the buffer. It never blocks on the peer.
+func (b *Box) Put(encode func(dst []byte) []byte) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.closed:
+		return ErrClosed
+	case len(b.buffered)+b.writing > b.bound:
+		return ErrFull
+	}
+	b.buffered = encode(b.buffered)
+	b.work.Signal()
+	return nil
+}
+
+// Empty tells whether all that was put has been taken by the connection.
+func (b *Box) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.buffered) == 0 && b.writing == 0
+}
+
+// Close ends the writer; what is still buffered is dropped.
+func (b *Box) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed, b.buffered = true, nil
+	b.work.Signal()
+}
+
+func (b *Box) write() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		for len(b.buffered) == 0 && !b.closed {
+			b.work.Wait()
+		}
+		if b.closed {
+			return
+		}
+		batch := b.buffered
+		b.buffered, b.writing = b.spare[:0], len(batch)
+		b.mu.Unlock()
+		_, err := b.sink.Write(batch)
+		if err != nil {
+			b.failed(err)
+		}
+		b.mu.Lock()
+		b.spare, b.writing = batch, 0
+		if err != nil {
+			b.closed, b.buffered = true, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/host.go
@@ -0,0 +1,234 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"irisbeam/internal/assert"
+	"irisbeam/internal/engine"
+	"irisbeam/policy"
+)
+
+// The methods below make the replica the policy.Host of its controller. They are called inside the
+// module's methods, under the lock, and never call the module themselves.
+
+// Run implements policy.Host.
+func (r *Replica) Run(id policy.RequestID) {
+	req := r.live[id]
+	if !assert.That(req != nil && !req.running && !req.answered, "only a held request is run") {
+		return
+	}
+	req.running = true
+	r.count.runs.Inc()
+	if k := req.key; k != nil {
+		k.ran = true
+	}
+	r.send(req)
+}
+
+// send is the one place where RUN is written. No try is written here whose keyed request may have run
+// as another try: that is the rule on duplicates.
+func (r *Replica) send(req *request) {
+	if req.class.Semantics == policy.Keyed {
+		k := r.keys.byName[name(req)]
+		if !assert.That(k != nil && k.holder == req.id, "a keyed try runs only as the holder of its key") {
+			r.queue(func(now time.Duration) { r.ended(now, req, engine.Fault, 0, nil) })
+			return
+		}
+	}
+	if r.engine.Run(req.Txn, req.Class, req.Body) {
+		if req.sent {
+			r.count.resent.Inc()
+		}
+		req.sent = true
+	}
+}
+
+// Refuse implements policy.Host.
+func (r *Replica) Refuse(id policy.RequestID, a policy.Advice) {
+	req := r.live[id]
+	if req == nil {
+		return
+	}
+	if !assert.That(!req.running || req.class.Semantics == policy.Safe, "what ran and has an effect is not refused") {
+		r.Fail(id)
+		return
+	}
+	refusal := Answer{Kind: Refused, Later: a.HoldOff, GiveUp: a.Last}
+	r.answer(req, refusal)
+	if req.running {
+		return
+	}
+	r.forget(req)
+	if k := req.key; k != nil { // repeats that waited for it never ran either
+		for _, w := range k.waiting {
+			w.waitsOn = nil
+			r.finish(w, refusal, policy.Failed)
+		}
+		k.waiting = nil
+	}
+}
+
+// finish answers a repeat and tells the module after the present call.
+func (r *Replica) finish(w *request, a Answer, o policy.Outcome) {
+	if !w.answered {
+		r.answer(w, a)
+	}
+	r.forget(w)
+	r.queue(func(now time.Duration) { r.ctl.Done(now, w.id, o, 0) })
+}
+
+// Fail implements policy.Host.
+func (r *Replica) Fail(id policy.RequestID) {
+	req := r.live[id]
+	if req == nil {
+		return
+	}
+	r.answer(req, Answer{Kind: Failed})
+	if !req.running { // it waited for another try; the module has ended it
+		r.forget(req)
+	}
+}
+
+// Reuse implements policy.Host.
+func (r *Replica) Reuse(id policy.RequestID) {
+	req := r.live[id]
+	k := r.keys.find(req)
+	if !assert.That(k != nil, "a repeat has an entry") {
+		r.finish(req, Answer{Kind: Failed}, policy.Failed)
+		return
+	}
+	r.count.reused.Inc()
+	switch {
+	case !k.over:
+		req.waitsOn = k
+		k.waiting = append(k.waiting, req)
+	case k.stored:
+		r.finish(req, Answer{Kind: Served, Body: k.result}, policy.Succeeded)
+	default:
+		r.finish(req, Answer{Kind: Failed}, policy.Failed)
+	}
+}
+
+// Keep implements policy.Host. The window counts from the door of the try, as the module's does, with
+// a margin.
+func (r *Replica) Keep(id policy.RequestID, ttl time.Duration) {
+	if req := r.live[id]; req != nil {
+		req.key = r.keys.keep(req, r.clock.Now()+ttl+keyMargin)
+	}
+}
+
+// Forget implements policy.Host.
+func (r *Replica) Forget(id policy.RequestID) {
+	if k := r.keys.byHolder[id]; k != nil && assert.That(!k.ran, "what ran is not forgotten") {
+		r.keys.drop(k)
+	}
+}
+
+// Signal implements policy.Host.
+func (r *Replica) Signal(value float64) { r.signal = Signal{Value: value, Set: true} }
+
+// Health implements policy.Host.
+func (r *Replica) Health(good bool) { r.healthy = good }
+
+// CloseIdle implements policy.Host.
+func (r *Replica) CloseIdle(after time.Duration) {
+	if r.cfg.CloseIdle != nil {
+		r.cfg.CloseIdle(after)
+	}
+}
+
+// Wake implements policy.Host.
+func (r *Replica) Wake(after time.Duration) { r.clock.AfterFunc(after, r.tick) }
+
+// Call implements policy.Host. The engine's protocol has no calls; the settings are checked for it.
+func (r *Replica) Call(policy.RequestID, time.Duration) {
+	assert.That(false, "no calls at this engine")
+}
+
+// Skip implements policy.Host.
+func (r *Replica) Skip(policy.RequestID) { assert.That(false, "no calls at this engine") }
+
+// Halt implements policy.Host. The engine's protocol has no preemption; the settings are checked for it.
+func (r *Replica) Halt(policy.RequestID) { assert.That(false, "no preemption at this engine") }
+
+// The methods below make the replica the engine.Events of its link.
+
+var outcomes = map[engine.End]policy.Outcome{engine.Fine: policy.Succeeded, engine.Fault: policy.Failed,
+	engine.BrokenOff: policy.Cancelled, engine.Late: policy.Moot}
+
+// Done implements engine.Events.
+func (r *Replica) Done(txn string, end engine.End, took time.Duration, result []byte) {
+	r.enter(func(now time.Duration) {
+		req := r.txns[txn]
+		if req == nil || !req.running {
+			r.count.stray.Inc()
+			return
+		}
+		r.ended(now, req, end, took, result)
+	})
+}
+
+// Rejected implements engine.Events: the request ends as failed.
+func (r *Replica) Rejected(txn string) {
+	r.enter(func(now time.Duration) {
+		if req := r.txns[txn]; req != nil && req.running {
+			r.count.rejected.Inc()
+			r.ended(now, req, engine.Fault, 0, nil)
+		}
+	})
+}
+
+// ended takes the end of a run: its answer, unless it has one, and that of all who wait for it.
+func (r *Replica) ended(now time.Duration, req *request, end engine.End, took time.Duration, result []byte) {
+	a := Answer{Kind: Failed}
+	if end == engine.Fine {
+		a = Answer{Kind: Served, Body: result}
+		r.count.done.Inc()
+	} else {
+		r.count.moot.Inc()
+	}
+	if !req.answered {
+		r.answer(req, a)
+	}
+	req.running = false
+	r.forget(req)
+	outcome := outcomes[end]
+	if k := req.key; k != nil {
+		k.over, k.ok = true, end == engine.Fine
+		if k.ok {
+			r.keys.store(k, result)
+		}
+		waiting := k.waiting
+		k.waiting = nil
+		for _, w := range waiting {
+			w.waitsOn = nil
+			r.finish(w, a, outcome)
+		}
+	}
+	r.ctl.Done(now, req.id, outcome, took)
+}
+
+// Gauges implements engine.Events.
+func (r *Replica) Gauges(values []float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg.OnCores < len(values) {
+		r.gauges.OnCores = values[r.cfg.OnCores]
+	}
+}
+
+// Attached implements engine.Events. What ran by our books and was not told of among the notices that
+// were missed did not reach the engine, or runs still; sending it again does nothing then.
+func (r *Replica) Attached(open func()) {
+	r.enter(func(time.Duration) {
+		open()
+		ids := slices.Sorted(maps.Keys(r.live))
+		for _, id := range ids {
+			if req := r.live[id]; req.running {
+				r.send(req)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/keys.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"time"
+
+	"irisbeam/policy"
+)
+
+// key is an entry of the key table: it links the tries of one keyed request, from the moment the
+// first of them is held until the window of the one that ran is over.
+type key struct {
+	name    string
+	holder  policy.RequestID
+	until   time.Duration // tries that came to the machine before it are linked
+	ran     bool          // the holder was given to the engine
+	over    bool          // its run has ended
+	ok      bool          // with a result
+	result  []byte        // nil once dropped for room
+	stored  bool          // result is there
+	waiting []*request
+}
+
+func (k *key) leave(req *request) {
+	for i, w := range k.waiting {
+		if w == req {
+			k.waiting = append(k.waiting[:i], k.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+type keyTable struct {
+	byName   map[string]*key
+	byHolder map[policy.RequestID]*key
+	order    []*key // by the time they were made
+	results  []*key // with a stored result, oldest first
+	bytes    int    // of stored results
+	bound    int
+}
+
+// name is how the entry of a request is called.
+func name(req *request) string {
+	switch {
+	case req.class.Semantics == policy.Keyed:
+		return "u " + req.Unique
+	case req.class.Semantics == policy.Safe && req.Item != "":
+		return "i " + req.Class + " " + req.Item
+	}
+	return ""
+}
+
+// find returns the entry that a new try repeats. What counts is when the try came to the machine,
+// however late it is read.
+func (t *keyTable) find(req *request) *key {
+	k := t.byName[name(req)]
+	if k == nil || k.ran && k.over && req.door > k.until {
+		return nil
+	}
+	if k.over && !k.ok && req.class.Semantics != policy.Keyed {
+		return nil // a read that failed serves no other
+	}
+	return k
+}
+
+// keep enters a request, in place of an entry whose time is over.
+func (t *keyTable) keep(req *request, until time.Duration) *key {
+	k := &key{name: name(req), holder: req.id, until: until}
+	if k.name == "" {
+		return nil
+	}
+	if old := t.byName[k.name]; old != nil {
+		t.drop(old)
+	}
+	t.byName[k.name], t.byHolder[k.holder] = k, k
+	t.order = append(t.order, k)
+	return k
+}
+
+func (t *keyTable) drop(k *key) {
+	if t.byName[k.name] == k {
+		delete(t.byName, k.name)
+	}
+	delete(t.byHolder, k.holder)
+	t.unstore(k)
+}
+
+func (t *keyTable) unstore(k *key) {
+	t.bytes -= len(k.result)
+	k.result, k.stored = nil, false
+}
+
+// store remembers the result for repeats, within the bound on all results: the oldest go first.
+func (t *keyTable) store(k *key, result []byte) {
+	k.result, k.stored = append([]byte{}, result...), true
+	t.bytes += len(result)
+	t.results = append(t.results, k)
+	for len(t.results) > 0 && (t.bytes > t.bound || !t.results[0].stored) {
+		t.unstore(t.results[0])
+		t.results = t.results[1:]
+	}
+}
+
+// expire drops entries whose window is over. One whose run has not ended stays, as a repeat may wait
+// for it; one that has not run goes when the module forgets it.
+func (t *keyTable) expire(now time.Duration) {
+	n := 0
+	for _, k := range t.order[:min(len(t.order), 64)] {
+		switch {
+		case t.byHolder[k.holder] != k: // dropped before
+		case now > k.until && k.over:
+			t.drop(k)
+		default:
+			t.order = append(t.order[:0], t.order[n:]...)
+			return
+		}
+		n++
+	}
+	t.order = append(t.order[:0], t.order[n:]...)
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,293 @@
+// Package replica carries out the decisions of the module for one server: it owns the live requests,
+// the table of keys, repeats that wait for another try, the timer and the drain. It knows no wire
+// format; requests come in and answers go out in neutral terms.
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"irisbeam/internal/assert"
+	"irisbeam/internal/counters"
+	"irisbeam/policy"
+)
+
+// Clock gives the time since the Unix epoch on a monotonic base.
+type Clock interface {
+	Now() time.Duration
+	AfterFunc(d time.Duration, f func())
+}
+
+// Engine takes what is to be run. Its methods never block.
+type Engine interface {
+	// Run sends a request to the engine; false means that there is no link to send it on.
+	Run(txn, class string, body []byte) bool
+	// AskGauges asks for the gauges, at a bounded rate.
+	AskGauges()
+}
+
+// Request is one try, as read from a router.
+type Request struct {
+	Txn    string // id of the try, unique
+	Class  string
+	Tenant string
+	Body   []byte
+	Caller int
+	Retry  bool
+	KB     float64
+	Rank   float64
+	Door   time.Time     // when it came to the machine
+	Limit  time.Duration // how long its caller waits, from Door
+	Unique string        // the same for all tries of one keyed request
+	Item   string        // what a read is about
+	Reply  Reply
+}
+
+// Kind is the kind of an answer.
+type Kind int
+
+// The kinds of answers.
+const (
+	Served  Kind = iota // with the result of the run
+	Refused             // this try never ran
+	Failed
+)
+
+// Answer is the one final answer of a try.
+type Answer struct {
+	Kind   Kind
+	Body   []byte        // lent for the call
+	Later  time.Duration // Refused: stay away for so long
+	GiveUp bool          // Refused: try no other replica
+	Signal Signal        // the free value that goes out with it
+}
+
+// Signal is the free value, once one was set.
+type Signal struct {
+	Value float64
+	Set   bool
+}
+
+// Reply takes the one final answer of a request. It must not block nor call the replica.
+type Reply interface{ Answer(Answer) }
+
+// Config is what a replica needs.
+type Config struct {
+	Policy      policy.Config
+	OnCores     int // place of the gauge among those that the engine tells
+	ResultBytes int // bound on stored results
+	CloseIdle   func(after time.Duration)
+}
+
+const (
+	// keyMargin is added to the window of a key: the clocks that count it are not ours alone.
+	keyMargin = time.Second
+	// gaugeEvery is how often the gauges are asked for at the most: two ticks of the module.
+	gaugeEvery = 28 * time.Millisecond
+	// doorAhead is how far in the future a door may lie before it is not believed.
+	doorAhead = time.Minute
+)
+
+// ErrRequest is wrapped by what Arrive says of a request that cannot be taken.
+var ErrRequest = errors.New("bad request")
+
+// request is a live try: not answered, or running.
+type request struct {
+	Request
+	id       policy.RequestID
+	class    *policy.Class
+	door     time.Duration
+	answered bool
+	running  bool // decided to run; its end is awaited
+	sent     bool // RUN was written at least once
+	key      *key // its entry, once kept
+	waitsOn  *key // the try whose outcome it waits for
+}
+
+// Replica drives one policy.Controller. All of its methods may be called from any goroutine.
+type Replica struct {
+	cfg     Config
+	clock   Clock
+	engine  Engine
+	classes map[string]int
+	count   counts
+
+	mu      sync.Mutex // the module is entered by one caller at a time
+	ctl     *policy.Controller
+	inside  bool // a method of the module is on the stack
+	after   []func(now time.Duration)
+	nextID  policy.RequestID
+	live    map[policy.RequestID]*request
+	txns    map[string]*request
+	owed    int // requests without their answer
+	keys    keyTable
+	gauges  policy.Gauges
+	askedAt time.Duration
+	signal  Signal
+	healthy bool
+}
+
+type counts struct {
+	read, retries, served, refused, failed, reused, advised, giveups, runs, resent, done, moot, stray, rejected, malformed *counters.Counter
+}
+
+// New builds a replica. The module may act at once, so the engine must be able to take calls.
+func New(cfg Config, clock Clock, engine Engine, set *counters.Set) (*Replica, error) {
+	r := &Replica{cfg: cfg, clock: clock, engine: engine, classes: map[string]int{},
+		live: map[policy.RequestID]*request{}, txns: map[string]*request{},
+		keys: keyTable{byName: map[string]*key{}, byHolder: map[policy.RequestID]*key{}, bound: cfg.ResultBytes}}
+	r.count = counts{read: set.Get("requests_read"), retries: set.Get("requests_marked_retry"),
+		served: set.Get("answers_served"), refused: set.Get("answers_refused"), failed: set.Get("answers_failed"),
+		reused: set.Get("answers_reused"), advised: set.Get("answers_with_later"), giveups: set.Get("answers_with_giveup"),
+		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), done: set.Get("runs_done"),
+		moot: set.Get("runs_done_unserved"), stray: set.Get("notices_unmatched"), rejected: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
+	for i := range cfg.Policy.Classes {
+		r.classes[cfg.Policy.Classes[i].Name] = i
+	}
+	if r.cfg.Policy.KeyKB <= 0 {
+		r.cfg.Policy.KeyKB = 1e-3 // the module keeps only keys that cost something
+	}
+	var err error
+	r.enter(func(now time.Duration) { r.ctl, err = policy.New(now, r.cfg.Policy, r) })
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	return r, nil
+}
+
+// enter serializes the entry to the module. What an action of the module makes due, such as the end
+// of a join that is over at once, is told to it only after the call that acted has returned.
+func (r *Replica) enter(f func(now time.Duration)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	r.inside = true
+	f(now)
+	r.inside = false
+	for len(r.after) > 0 {
+		next := r.after[0]
+		r.after = r.after[1:]
+		r.inside = true
+		next(now)
+		r.inside = false
+	}
+	r.after = nil
+}
+
+func (r *Replica) queue(f func(now time.Duration)) { r.after = append(r.after, f) }
+
+// Arrive takes a request that was read. An error means that it was not taken and has no answer yet.
+func (r *Replica) Arrive(q Request) error {
+	class, ok := r.classes[q.Class]
+	if !ok {
+		return fmt.Errorf("%w: unknown class %q", ErrRequest, q.Class)
+	}
+	req := &request{Request: q, class: &r.cfg.Policy.Classes[class], door: time.Duration(q.Door.UnixNano())}
+	if req.class.Semantics == policy.Keyed && q.Unique == "" {
+		return fmt.Errorf("%w: class %q needs a key", ErrRequest, q.Class)
+	}
+	var err error
+	r.enter(func(now time.Duration) {
+		switch {
+		case r.txns[q.Txn] != nil:
+			err = fmt.Errorf("%w: try %q is open already", ErrRequest, q.Txn)
+			return
+		case req.door > now+doorAhead:
+			err = fmt.Errorf("%w: it came in the future", ErrRequest)
+			return
+		}
+		r.count.read.Inc()
+		if q.Retry {
+			r.count.retries.Inc()
+		}
+		r.nextID++
+		req.id = r.nextID
+		r.live[req.id], r.txns[q.Txn] = req, req
+		r.owed++
+		in := policy.Request{ID: req.id, Class: class, Retry: q.Retry, Caller: q.Caller, KB: q.KB, Rank: q.Rank,
+			Key: q.Item, Waited: max(now-req.door, 0), Due: req.door + q.Limit}
+		if k := r.keys.find(req); k != nil {
+			in.Earlier = k.holder
+		}
+		r.ctl.Arrive(now, in)
+	})
+	return err
+}
+
+// answer gives a request its one final answer.
+func (r *Replica) answer(req *request, a Answer) {
+	if !assert.That(!req.answered, "a try is answered once") {
+		return
+	}
+	req.answered = true
+	r.owed--
+	switch a.Kind {
+	case Served:
+		r.count.served.Inc()
+	case Refused:
+		r.count.refused.Inc()
+		if a.Later > 0 {
+			r.count.advised.Inc()
+		}
+		if a.GiveUp {
+			r.count.giveups.Inc()
+		}
+	default:
+		r.count.failed.Inc()
+	}
+	a.Signal = r.signal
+	req.Reply.Answer(a)
+	req.Reply = nil
+}
+
+// forget ends the books of a request.
+func (r *Replica) forget(req *request) {
+	delete(r.live, req.id)
+	delete(r.txns, req.Txn)
+	if k := req.waitsOn; k != nil {
+		k.leave(req)
+	}
+}
+
+// tick is the module's timer.
+func (r *Replica) tick() {
+	r.enter(func(now time.Duration) {
+		if now-r.askedAt >= gaugeEvery {
+			r.askedAt = now
+			r.engine.AskGauges()
+		}
+		r.keys.expire(now)
+		r.ctl.Tick(now, r.gauges)
+	})
+}
+
+// Drain takes the notice to leave; the process is stopped after stop.
+func (r *Replica) Drain(stop time.Duration) {
+	r.enter(func(now time.Duration) { r.ctl.Drain(now, now+stop) })
+}
+
+// Owed tells how many requests have no answer yet.
+func (r *Replica) Owed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.owed
+}
+
+// Healthy is the answer to health checks, from store.
+func (r *Replica) Healthy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.healthy
+}
+
+// CurrentSignal returns the free value, for health checks.
+func (r *Replica) CurrentSignal() Signal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.signal
+}
+
+// Turned counts a call that could not be taken as a request.
+func (r *Replica) Turned() { r.count.malformed.Inc() }
--- /dev/null
+++ b/internal/settings/replica.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"irisbeam/policy"
+)
+
+// Replica is the configuration of one real replica.
+type Replica struct {
+	Name, Listen, Engine, Directory string
+	Seed                            int64
+	Stop                            time.Duration // from the notice to leave to the kill
+	Limits                          Limits
+	Settings                        *Settings
+	Policy                          policy.Config
+	OnCores                         int // the place of that gauge among the engine's gauges
+}
+
+// Limits belong to the program.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Load reads the configuration at path. Its errors name what is wrong in it.
+func Load(path string) (*Replica, error) {
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG is not set; it names the configuration file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	return parse(raw)
+}
+
+func parse(raw []byte) (*Replica, error) {
+	var f struct {
+		Name, Listen, Engine, Directory, Seed string
+		StopMS                                float64 `json:"stop_ms"`
+		Limits                                Limits
+		Settings                              json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if f.Name == "" {
+		return nil, errors.New(`configuration: "name" is missing`)
+	}
+	for key, addr := range map[string]string{"listen": f.Listen, "engine": f.Engine, "directory": f.Directory} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("configuration: %q must be host:port, is %q", key, addr)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf(`configuration: "seed" must be up to 16 hex digits, is %q`, f.Seed)
+	}
+	if !(f.StopMS > 0 && f.StopMS < 1e9) {
+		return nil, fmt.Errorf(`configuration: "stop_ms" must be above 0, is %g`, f.StopMS)
+	}
+	if !(f.Limits.Cores > 0) || f.Limits.MemoryMB <= 0 || f.Limits.Sockets <= 0 {
+		return nil, fmt.Errorf(`configuration: "limits" must all be above 0, are %+v`, f.Limits)
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New(`configuration: "settings" is missing`)
+	}
+	s, err := Decode(f.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	r := &Replica{Name: f.Name, Listen: f.Listen, Engine: f.Engine, Directory: f.Directory, Seed: int64(seed),
+		Stop: time.Duration(f.StopMS * float64(time.Millisecond)), Limits: f.Limits, Settings: s,
+		Policy: s.Policy(int64(seed)), OnCores: -1}
+	for i, m := range s.Family.Meters {
+		if m == "on_cores" {
+			r.OnCores = i
+		}
+	}
+	return r, r.check()
+}
+
+// check turns down what the engine's protocol at this site cannot carry out.
+func (r *Replica) check() error {
+	if r.Policy.Halt != policy.NoHalt {
+		return errors.New("configuration: the engine's protocol has no preemption, the settings want it")
+	}
+	if r.Policy.Dependency != policy.NoDependency {
+		return errors.New("configuration: the engine's protocol has no calls, the settings want them")
+	}
+	if r.OnCores < 0 {
+		return errors.New(`configuration: the settings list no gauge "on_cores"`)
+	}
+	return nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,54 +35,6 @@
 	Usage    map[string]float64 `json:"usage"`
 }
 
-// Boot holds the settings of an instance. Names that are not listed are skipped.
-type Boot struct {
-	Family struct {
-		Cores      int       `json:"cores"`
-		Cold       bool      `json:"cold"`
-		MemoryKB   float64   `json:"memory-kb"`
-		Blowup     float64   `json:"blowup"`
-		KeyKB      float64   `json:"key-kb"`
-		Preemption string    `json:"preemption"`
-		Say        string    `json:"say"`
-		Heeded     int64     `json:"heeded"`
-		DependsOn  string    `json:"depends-on"`
-		FairCalls  float64   `json:"fair-calls"`
-		CallsOver  int64     `json:"calls-over"`
-		StaysFor   int64     `json:"stays-for"`
-		ShareFor   int64     `json:"share-for"`
-		CallerIdle int64     `json:"caller-idle"`
-		Upstreams  int       `json:"upstreams"`
-		ClassSkip  []float64 `json:"class-skip-worth"`
-		Readiness  bool      `json:"readiness"`
-	} `json:"family-info"`
-	Guarantees struct {
-		AnswerSlack  int64   `json:"answer-slack"`
-		Cold         int64   `json:"cold"`
-		ColdFrom     float64 `json:"cold-from"`
-		DrainGrace   int64   `json:"drain-grace"`
-		FallMultiple float64 `json:"fall-multiple"`
-	} `json:"guarantees"`
-	Lanes []struct {
-		Name       string  `json:"name"`
-		Aim        int64   `json:"aim"`
-		Deadline   int64   `json:"deadline"`
-		Window     int64   `json:"dedup-window"`
-		Importance float64 `json:"importance"`
-		LateWorth  float64 `json:"late-worth"`
-		Semantics  string  `json:"semantics"`
-	} `json:"lanes"`
-	Limits struct {
-		MaxRetryAfter int64 `json:"max-retry-after"`
-		RetryAfter    bool  `json:"retry-after"`
-	} `json:"policy-limits"`
-	Callers struct {
-		MarksRetry bool `json:"marks-retry"`
-	} `json:"callers"`
-	Tick    int64  `json:"tick"`
-	WorthBy string `json:"worth-by"`
-}
-
 // Action is any action; Name tells which fields belong to it.
 type Action struct {
 	Name    string   `json:"m"`
@@ -115,15 +67,6 @@
 	return &Batch{Moment: *b.Moment, Items: *b.Items}, nil
 }
 
-// DecodeBoot reads the settings of an instance.
-func DecodeBoot(raw json.RawMessage) (*Boot, error) {
-	b := new(Boot)
-	if err := json.Unmarshal(raw, b); err != nil {
-		return nil, fmt.Errorf("decode settings: %w", err)
-	}
-	return b, nil
-}
-
 // Encode writes one reply, newline included.
 func Encode(actions []Action) ([]byte, error) {
 	if actions == nil {
