--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -13,14 +13,14 @@
 	"syscall"
 	"time"
 
-	"irisbeam/internal/assert"
-	"irisbeam/internal/catalog"
-	"irisbeam/internal/clock"
-	"irisbeam/internal/counters"
-	"irisbeam/internal/engine"
-	"irisbeam/internal/front"
-	"irisbeam/internal/replica"
-	"irisbeam/internal/settings"
+	"cairnlane/internal/assert"
+	"cairnlane/internal/catalog"
+	"cairnlane/internal/clock"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/engine"
+	"cairnlane/internal/front"
+	"cairnlane/internal/replica"
+	"cairnlane/internal/settings"
 )
 
 const (
--- a/cmd/simhost/fleet.go
+++ b/cmd/simhost/fleet.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"irisbeam/internal/settings"
-	"irisbeam/internal/wire"
-	"irisbeam/policy"
+	"cairnlane/internal/settings"
+	"cairnlane/internal/wire"
+	"cairnlane/policy"
 )
 
 // fleet holds the instances of this process; they share nothing but the reply being built.
--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"irisbeam/internal/wire"
-	"irisbeam/policy"
+	"cairnlane/internal/wire"
+	"cairnlane/policy"
 )
 
 // The methods below make an instance the policy.Host of its controller.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"irisbeam/internal/wire"
+	"cairnlane/internal/wire"
 )
 
 func main() {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"irisbeam/internal/counters"
+	"cairnlane/internal/counters"
 )
 
 const (
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -8,8 +8,8 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"irisbeam/internal/counters"
-	"irisbeam/internal/outbox"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/outbox"
 )
 
 const (
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -12,9 +12,9 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"irisbeam/internal/counters"
-	"irisbeam/internal/outbox"
-	"irisbeam/internal/replica"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/outbox"
+	"cairnlane/internal/replica"
 )
 
 // Core takes requests and gives their answers. The replica is one.
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"irisbeam/internal/assert"
-	"irisbeam/internal/replica"
-	"irisbeam/internal/thrift"
+	"cairnlane/internal/assert"
+	"cairnlane/internal/replica"
+	"cairnlane/internal/thrift"
 )
 
 // maxOpen bounds the requests that are open on one connection. Routers open 32 at most.
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"irisbeam/internal/replica"
-	"irisbeam/internal/thrift"
+	"cairnlane/internal/replica"
+	"cairnlane/internal/thrift"
 )
 
 // maxBody is what a request's body may hold.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"irisbeam/internal/assert"
-	"irisbeam/internal/engine"
-	"irisbeam/policy"
+	"cairnlane/internal/assert"
+	"cairnlane/internal/engine"
+	"cairnlane/policy"
 )
 
 // The methods below make the replica the policy.Host of its controller. They are called inside the
--- a/internal/replica/keys.go
+++ b/internal/replica/keys.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"irisbeam/policy"
+	"cairnlane/policy"
 )
 
 // key is an entry of the key table: it links the tries of one keyed request, from the moment the
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"irisbeam/internal/assert"
-	"irisbeam/internal/counters"
-	"irisbeam/policy"
+	"cairnlane/internal/assert"
+	"cairnlane/internal/counters"
+	"cairnlane/policy"
 )
 
 // Clock gives the time since the Unix epoch on a monotonic base.
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"irisbeam/policy"
+	"cairnlane/policy"
 )
 
 // Replica is the configuration of one real replica.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"irisbeam/policy"
+	"cairnlane/policy"
 )
 
 // Settings holds the settings of an instance. Names that are not listed are skipped.
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,4 +1,4 @@
-// Package policy is irisbeam's decision module. This file is its interface: the settings given at
+// Package policy is cairnlane's decision module. This file is its interface: the settings given at
 // the start, the events a server reports (methods of Controller, in policy.go) and the actions it
 // takes (Host). It holds types only; every decision lives in policy.go.
 package policy
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"irisbeam/policy"
+	"cairnlane/policy"
 )
 
 type printer struct{ policy.Host }
