--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,4 @@
-// Irisbeam's decisions, all of them: kanaloa's mechanism, in which a PIE controller refuses arrivals
+// Cairnlane's decisions, all of them: kanaloa's mechanism, in which a PIE controller refuses arrivals
 // at read by chance and an exploring autothrottle pool bounds how many requests run at once.
 // The interface (settings, events, actions) is in api.go.
 package policy
