Refuse doomed requests at once and tell those given up on when to come back

Changed in policy.go: doomed refuses at read what those held with a tighter aim keep past its own aim at the measured rate of starts; sweepHold refuses each tick what became hopeless behind the head; what was held and given up on is told to stay away for the time of one start (refuse).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	callTries     = 3    // tries of one call
 	meanWeight    = 0.05 // weight of the newest run in a class's mean
 	marginRuns    = 1.4  // mean runs that must fit before the aim: crowded ones take longer than the mean
+	aheadShare    = 0.6  // share of those held with a tighter aim taken to start first: some are refused
 	workShare     = 0.5  // share of a run that grows with its expected work; the rest is waits
 	sameShare     = 0.01 // shares of the deadline that differ by less are the same patience
 	seenMost      = 50   // most that a caller's usual patience counts for: habits change
@@ -293,7 +294,7 @@
 	switch {
 	case c.draining && r.arrived > c.drainAt+c.cfg.DrainGrace: // rule 3
 		return true
-	case c.tooLate(r):
+	case c.tooLate(r) || c.doomed(r):
 		return true
 	case c.memory+c.keyCost(r) > c.memoryLimit(): // rule 4, and rule 2: no room to remember it
 		return true
@@ -523,6 +524,32 @@
 	}
 }
 
+// sweepHold gives up at once on what can no longer make its aim, also behind a head that still can: runs of
+// its class take longer. Its caller hears so a tick later instead of when it gets to the head.
+func (c *Controller) sweepHold() {
+	for _, e := range c.hold {
+		if r := e.r; !r.ended && r.state == held && c.tooLate(r) {
+			c.refuse(r)
+		}
+	}
+}
+
+// doomed tells whether those held with a tighter aim, at the present rate of starts, keep r past its own.
+// It guards against reads that are held only to be given up on. Harm: some that others would have let pass.
+func (c *Controller) doomed(r *request) bool {
+	if c.count[held] == 0 || c.startSum < 0.5 {
+		return false
+	}
+	ahead, at := 0, c.order(r)
+	for _, e := range c.hold {
+		if e.at <= at && !e.r.ended && e.r.state == held {
+			ahead++
+		}
+	}
+	wait := aheadShare * float64(ahead) * c.startTime / c.startSum
+	return c.now+time.Duration(wait*float64(time.Second))+c.need(r) > c.limit(at)
+}
+
 func (c *Controller) room(r *request) bool {
 	inHand := c.count[running] + c.count[atCall] + c.count[calling]
 	return c.count[running] < c.pool && inHand < c.crowd() &&
@@ -747,6 +774,9 @@
 	mute := c.cfg.Signal == NoSignal || c.cfg.Signal == CallerTokens
 	if mute && !c.closing { // the signal cannot say zero, and callers do come back
 		advice.HoldOff = time.Duration(c.ahead.dropProb * float64(c.cfg.MaxHoldOff))
+	} else if !mute && !c.draining && c.now > r.arrived+r.Waited { // given up on: back after a start
+		free := time.Duration(c.startTime / max(c.startSum, 1) * float64(time.Second))
+		advice.HoldOff = min(free, c.cfg.MaxHoldOff)
 	}
 	c.host.Refuse(r.ID, advice)
 	c.drop(r)
@@ -845,6 +875,7 @@
 	c.regulate(dt)
 	c.resize()
 	c.tickCalls(dt)
+	c.sweepHold()
 	c.startHeld()
 	c.say()
 	c.retire()
