Test every part; keep key entries past their window for tries that are read late

Seen: the new test TestTheWindowCountsFromTheDoorOfTheTryThatRan failed. A try whose door lies inside the window, read after it, found no entry and ran again: keyTable.expire dropped entries at the end of the window, though what counts is when a try came. Entries now stay one deadline longer (dropAt in keys.go).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# build, test, lint and run the project; `make test` is what CI runs.
+SHELL := /bin/bash
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: build test lint run fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+# Format, vet, race tests in both builds, then the build as the deploy file has it.
+test:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt'd: $$unformatted"; exit 1; fi
+	go vet ./...
+	go vet -tags debug ./...
+	go test -race -count=1 ./...
+	go test -race -count=1 -tags debug ./...
+	sh -c "$$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)"
+
+lint:
+	go vet ./...
+	go run $(STATICCHECK) ./...
+
+# One replica on loopback; `go run ./examples/toy` in another terminal plays what it talks to.
+run: build
+	RELAY_CONFIG=examples/config.json exec bin/cairnlane
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzFeed -fuzztime 20s ./internal/front
+	go test -run '^$$' -fuzz FuzzMessage -fuzztime 20s ./internal/thrift
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairnlane/internal/testkit"
+)
+
+// recorder takes the events of a link.
+type recorder struct{ told []string }
+
+func (r *recorder) Done(id string, end End, took time.Duration, result []byte) {
+	r.told = append(r.told, fmt.Sprintf("%s %s %v %q", id, end, took, result))
+}
+func (r *recorder) Rejected(id string)          { r.told = append(r.told, "no "+id) }
+func (r *recorder) Gauges(v []float64)          { r.told = append(r.told, fmt.Sprint("gauges ", v)) }
+func (r *recorder) Attached(open func())        { r.told = append(r.told, "attached"); open() }
+func (r *recorder) want(t *testing.T, w string) { t.Helper(); equal(t, strings.Join(r.told, "; "), w) }
+
+func equal(t *testing.T, got, want string) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
+
+// link is a session whose output is kept.
+func link(mem *memory) (*session, *recorder, *bytes.Buffer) {
+	rec, out := new(recorder), new(bytes.Buffer)
+	s := &session{memory: mem, events: rec, send: func(encode func([]byte) []byte) { out.Write(encode(nil)) }}
+	s.begin()
+	return s, rec, out
+}
+
+func TestRunCarriesTheBodyAsItCame(t *testing.T) {
+	equal(t, string(appendRun(nil, "0a", "note-save", []byte("a\r\n\x00b"))), "RUN 0a note-save 5\r\na\r\n\x00b\r\n")
+}
+
+func TestReplayedNoticesAreSettledBeforeRunsAreSentAgain(t *testing.T) {
+	mem := &memory{last: 3}
+	s, rec, out := link(mem)
+	in := "HELLO running 10\r\nDONE 3 aa fine 1 0\r\n\r\nDONE 4 bb fine 2.5 4\r\n\r\n\r\n\r\nNOTE 5 any words\r\nSTATS g1 0.5 3 0.1 9\r\n"
+	if err := s.feed([]byte(in)); err != nil {
+		t.Fatal(err)
+	}
+	equal(t, out.String(), "ATTACH 3\r\nSTAT g1\r\n")
+	rec.want(t, `bb fine 2.5ms "\r\n\r\n"; attached; gauges [0.5 3 0.1 9]`)
+	if mem.last != 5 || !s.ready.Load() {
+		t.Errorf("last %d, ready %v", mem.last, s.ready.Load())
+	}
+}
+
+func TestRefusedCommands(t *testing.T) {
+	s, rec, _ := link(&memory{})
+	if err := s.feed([]byte("HELLO starting 0\r\nNO STAT g1\r\nNO RUN 7f\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	rec.want(t, "attached; no 7f")
+}
+
+// An unknown end used to count as a success, as the zero value of the module's outcome.
+func TestGarbageEndsTheLink(t *testing.T) {
+	for _, in := range []string{"DONE 1 a fine 1 0\r\n\r\n", "HELLO x\r\n", "HELLO running 1\r\nDONE 1 a odd 1 0\r\n\r\n",
+		"HELLO running 1\r\nDONE x a fine 1 0\r\n\r\n", "HELLO running 1\r\nDONE 1 a fine 1 99999999\r\n",
+		"HELLO running 1\r\nDONE 1 a fine 1 1\r\nabc", "HELLO running 1\r\nWHAT\r\n", "\r\n", strings.Repeat("x", maxLine+1)} {
+		s, _, _ := link(&memory{})
+		if err := s.feed([]byte(in)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%.40q: error %v", in, err)
+		}
+	}
+}
+
+// TestEveryNoticeIsToldOnceOverAnyBreaks breaks the link at random places of the stream.
+func TestEveryNoticeIsToldOnceOverAnyBreaks(t *testing.T) {
+	testkit.Steps(t, func(*rapid.T) map[string]func(*rapid.T) {
+		mem := &memory{}
+		var notices []string // what the engine has said, by number
+		var told []string
+		var s *session
+		var rec *recorder
+		var wire []byte
+		attach := func(*rapid.T) {
+			if rec != nil {
+				told = append(told, rec.told...)
+			}
+			s, rec, _ = link(mem)
+			wire = []byte("HELLO running 5\r\n")
+			for _, n := range notices[mem.last:] {
+				wire = append(wire, n...)
+			}
+		}
+		attach(nil)
+		return map[string]func(*rapid.T){
+			"break": attach,
+			"done": func(rt *rapid.T) {
+				body := rapid.StringN(0, 20, -1).Draw(rt, "body")
+				n := fmt.Sprintf("DONE %d id%d fine 1 %d\r\n%s\r\n", len(notices)+1, len(notices)+1, len(body), body)
+				notices = append(notices, n)
+				wire = append(wire, n...)
+			},
+			"read": func(rt *rapid.T) {
+				n := rapid.IntRange(0, len(wire)).Draw(rt, "bytes")
+				if err := s.feed(wire[:n]); err != nil {
+					rt.Fatal(err)
+				}
+				wire = wire[n:]
+			},
+			"": func(rt *rapid.T) {
+				all := slices.Concat(told, rec.told)
+				for i, told := range all {
+					if !strings.HasPrefix(told, fmt.Sprintf("id%d ", i+1)) {
+						rt.Fatalf("told as number %d: %s", i+1, told)
+					}
+				}
+				if int64(len(all)) != mem.last {
+					rt.Fatalf("%d told, last %d", len(all), mem.last)
+				}
+			},
+		}
+	})
+}
--- /dev/null
+++ b/internal/engine/link_test.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"cairnlane/internal/counters"
+)
+
+// toldEvents passes what a link tells to the test.
+type toldEvents struct {
+	attached chan struct{}
+	done     chan string
+}
+
+func (e *toldEvents) Done(id string, _ End, _ time.Duration, result []byte) {
+	e.done <- id + " " + string(result)
+}
+func (e *toldEvents) Rejected(string)      {}
+func (e *toldEvents) Gauges([]float64)     {}
+func (e *toldEvents) Attached(open func()) { open(); e.attached <- struct{}{} }
+
+// accept takes the next link, checks its ATTACH and answers HELLO, then reads the STAT.
+func accept(t *testing.T, ln net.Listener, last int) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	r := bufio.NewReader(c)
+	expect(t, r, fmt.Sprintf("ATTACH %d\r\n", last))
+	fmt.Fprint(c, "HELLO running 5\r\n")
+	expect(t, r, "STAT g1\r\n")
+	return c, r
+}
+
+func expect(t *testing.T, r *bufio.Reader, line string) {
+	t.Helper()
+	if got, err := r.ReadString('\n'); got != line {
+		t.Fatalf("the engine reads %q (%v), want %q", got, err, line)
+	}
+}
+
+func TestALostLinkIsTakenUpFromTheLastNotice(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &toldEvents{make(chan struct{}, 4), make(chan string, 4)}
+	l := NewLink(ln.Addr().String(), new(counters.Set))
+	if l.Run("a", "x", nil) {
+		t.Error("a run is taken with no link")
+	}
+	go l.Keep(ctx, e)
+	c, r := accept(t, ln, 0)
+	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
+	<-e.attached
+	if !l.Run("aa", "x", []byte("b")) {
+		t.Fatal("the link takes no run")
+	}
+	expect(t, r, "RUN aa x 1\r\n")
+	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\n")
+	if got := <-e.done; got != "aa ok" {
+		t.Errorf("told %q", got)
+	}
+	c.Close()
+	c, _ = accept(t, ln, 1)
+	if l.Run("bb", "x", nil) {
+		t.Error("a run is taken before what was missed was told")
+	}
+	fmt.Fprint(c, "DONE 2 cc fine 3 0\r\n\r\nSTATS g1 0 0 0 0\r\n")
+	if got := <-e.done; got != "cc " {
+		t.Errorf("told %q", got)
+	}
+	<-e.attached
+	if !l.Run("bb", "x", nil) {
+		t.Error("the new link takes no run")
+	}
+}
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,116 @@
+package front
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"cairnlane/internal/counters"
+	"cairnlane/internal/replica"
+	"cairnlane/internal/testkit"
+	"cairnlane/internal/thrift"
+)
+
+// echo is a Core that serves each request with its own body at once.
+type echo struct{ core }
+
+func (e *echo) Arrive(q replica.Request) error {
+	go q.Reply.Answer(replica.Answer{Kind: replica.Served, Body: q.Body})
+	return nil
+}
+
+func serve(t *testing.T, most int) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", most, new(echo), testkit.NewClock().Now, new(counters.Set))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+// receive reads one message and returns its header; ok is false at the end of the connection.
+func receive(t *testing.T, c net.Conn) (h thrift.Header, ok bool) {
+	t.Helper()
+	var in []byte
+	for {
+		if p, _, err := thrift.Frame(in); err != nil {
+			t.Fatal(err)
+		} else if p != nil {
+			return thrift.NewReader(p).Header(), true
+		}
+		b := make([]byte, 1)
+		if _, err := c.Read(b); err != nil {
+			return h, false
+		}
+		in = append(in, b[0])
+	}
+}
+
+func TestServesOverRealSocketsAndParts(t *testing.T) {
+	s := serve(t, 10)
+	c, bad := dial(t, s), dial(t, s)
+	c.Write(message("serve", 1, fields(), "body"))
+	if h, ok := receive(t, c); !ok || h.Type != thrift.Reply || h.Seq != 1 {
+		t.Fatalf("answer %+v, %v", h, ok)
+	}
+	bad.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	if _, ok := receive(t, bad); ok {
+		t.Error("garbage is answered")
+	}
+	s.Leave()
+	if h, ok := receive(t, c); !ok || h.Name != "goaway" || h.Type != thrift.Oneway {
+		t.Errorf("on leaving: %+v, %v", h, ok)
+	}
+	c.Write(message("serve", 2, fields(), "crossing")) // a request that crosses the goaway is still answered
+	if h, ok := receive(t, c); !ok || h.Seq != 2 {
+		t.Errorf("answer %+v, %v", h, ok)
+	}
+	if c, err := net.Dial("tcp", s.ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("connects after leaving")
+	}
+}
+
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	s := serve(t, 1)
+	first := dial(t, s)
+	first.Write(message("isWell", 1, nil, ""))
+	if _, ok := receive(t, first); !ok {
+		t.Fatal("no answer on the first connection")
+	}
+	if _, ok := receive(t, dial(t, s)); ok {
+		t.Error("a second connection is served")
+	}
+}
+
+func TestIdleConnectionsAreClosedOnlyOnceSet(t *testing.T) {
+	clock := testkit.NewClock()
+	s, err := Listen("127.0.0.1:0", 9, new(echo), clock.Now, new(counters.Set))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	c := dial(t, s)
+	c.Write(message("isWell", 1, nil, ""))
+	receive(t, c)
+	clock.Advance(time.Minute)
+	if n := len(s.idleOnes()); n != 0 {
+		t.Errorf("%d idle ones before a time was set", n)
+	}
+	s.CloseIdle(time.Second)
+	if n := len(s.idleOnes()); n != 1 {
+		t.Errorf("%d idle ones, want 1", n)
+	}
+}
--- /dev/null
+++ b/internal/front/session_test.go
@@ -0,0 +1,234 @@
+package front
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairnlane/internal/replica"
+	"cairnlane/internal/testkit"
+	"cairnlane/internal/thrift"
+)
+
+// core is a Core that keeps the requests it is given.
+type core struct {
+	requests []replica.Request
+	turned   int
+}
+
+func (c *core) Arrive(q replica.Request) error {
+	if q.Class != "page" {
+		return fmt.Errorf("unknown class %q", q.Class)
+	}
+	c.requests = append(c.requests, q)
+	return nil
+}
+func (c *core) Turned()                       { c.turned++ }
+func (c *core) Healthy() bool                 { return true }
+func (c *core) CurrentSignal() replica.Signal { return replica.Signal{Value: 0.25, Set: true} }
+
+// router is the other end of a session.
+type router struct {
+	*session
+	core  *core
+	clock *testkit.Clock
+	out   []byte
+}
+
+func newRouter() *router {
+	r := &router{core: new(core), clock: testkit.NewClock()}
+	r.session = &session{core: r.core, now: r.clock.Now, used: r.clock.Now(),
+		send: func(encode func([]byte) []byte) { r.out = encode(r.out) }}
+	return r
+}
+
+func fields(more ...[2]string) [][2]string {
+	return append([][2]string{{"verb", "page"}, {"txn", "9b1f03aa5c7e2d41"}, {"door", "1764576000123"}, {"lb", "4"},
+		{"team", "x"}, {"limit", "480"}, {"ram", "24.5"}, {"standing", "0.6250"}}, more...)
+}
+
+func message(name string, seq int32, fields [][2]string, body string) []byte {
+	return thrift.AppendFrame(nil, func(b []byte) []byte {
+		b = thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: name, Seq: seq})
+		b = thrift.AppendStringMap(thrift.AppendField(b, thrift.Map, 1), fields)
+		return thrift.AppendStop(thrift.AppendString(thrift.AppendField(b, thrift.String, 2), body))
+	})
+}
+
+// next cuts one message off the output and describes it: its header, then the text of the rest.
+func (r *router) next() (thrift.Header, string) {
+	p, rest, _ := thrift.Frame(r.out)
+	r.out = rest
+	in := thrift.NewReader(p)
+	h := in.Header()
+	return h, string(p[len(p)-in.Len():])
+}
+
+func TestARequestIsTranslated(t *testing.T) {
+	r := newRouter()
+	if err := r.feed(message("serve", 1, fields([2]string{"second", "1"}, [2]string{"unique", "k"}), "\x00body")); err != nil {
+		t.Fatal(err)
+	}
+	q := r.core.requests[0]
+	q.Reply = nil
+	want := replica.Request{Txn: "9b1f03aa5c7e2d41", Class: "page", Tenant: "x", Body: []byte("\x00body"), Caller: 4, Retry: true,
+		KB: 24.5, Rank: 0.625, Door: time.UnixMilli(1764576000123), Limit: 480 * time.Millisecond, Unique: "k"}
+	if got := fmt.Sprintf("%+v", q); got != fmt.Sprintf("%+v", want) {
+		t.Errorf("got  %s\nwant %+v", got, want)
+	}
+}
+
+func TestAnswersCarryTheirFields(t *testing.T) {
+	signal := replica.Signal{Value: 0.5, Set: true}
+	for _, k := range []struct {
+		answer replica.Answer
+		has    []string
+		not    string
+	}{
+		{replica.Answer{Kind: replica.Served, Body: []byte("result"), Signal: signal}, []string{"result", "feedback", "0.5"}, "later"},
+		{replica.Answer{Kind: replica.Refused, Later: 1500 * time.Microsecond, GiveUp: true, Signal: signal},
+			[]string{"later\x00\x00\x00\x012", "giveup\x00\x00\x00\x011", "feedback"}, "result"},
+		{replica.Answer{Kind: replica.Refused}, nil, "later"},
+		{replica.Answer{Kind: replica.Failed, Signal: signal}, []string{"feedback"}, "giveup"},
+	} {
+		r := newRouter()
+		if err := r.feed(message("serve", 3, fields(), "")); err != nil {
+			t.Fatal(err)
+		}
+		r.core.requests[0].Reply.Answer(k.answer)
+		h, text := r.next()
+		ok := h == thrift.Header{Type: thrift.Reply, Name: "serve", Seq: 3} && !strings.Contains(text, k.not)
+		for _, has := range k.has {
+			ok = ok && strings.Contains(text, has)
+		}
+		if !ok {
+			t.Errorf("%+v is written as %+v %q", k.answer, h, text)
+		}
+	}
+}
+
+func TestWhatIsWrongInACallIsAnsweredOnThatCall(t *testing.T) {
+	for name, m := range map[string][]byte{
+		"unknown class":  message("serve", 5, fields([2]string{"verb", "other"}), ""),
+		"unknown method": message("fetch", 5, nil, ""),
+		"no door":        message("serve", 5, fields([2]string{"door", ""}), ""),
+		"NaN":            message("serve", 5, fields([2]string{"ram", "NaN"}), ""),
+		"bad txn":        message("serve", 5, fields([2]string{"txn", "a\r\nRUN x y 0"}), ""),
+		"large body":     message("serve", 5, fields(), strings.Repeat("x", maxBody+1)),
+		"cut short":      thrift.AppendFrame(nil, func(b []byte) []byte { return append(b, message("serve", 5, fields(), "")[4:60]...) }),
+	} {
+		r := newRouter()
+		if err := r.feed(append(m, message("isWell", 6, nil, "")...)); err != nil {
+			t.Errorf("%s ends the connection: %v", name, err)
+			continue
+		}
+		fault, _ := r.next()
+		check, text := r.next()
+		if fault.Type != thrift.Exception || fault.Seq != 5 || check.Seq != 6 || !strings.Contains(text, "0.25") {
+			t.Errorf("%s: %+v, then %+v %q", name, fault, check, text)
+		}
+	}
+}
+
+func TestGarbageEndsTheConnection(t *testing.T) {
+	reply := thrift.AppendFrame(nil, func(b []byte) []byte {
+		return thrift.AppendHeader(b, thrift.Header{Type: thrift.Reply, Name: "serve", Seq: 1})
+	})
+	for name, in := range map[string][]byte{"text": []byte("GET / HTTP/1.1\r\n"), "a reply": reply, "no header": {0, 0, 0, 1, 9}} {
+		if err := newRouter().feed(in); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+}
+
+// TestConnectionStates checks a connection against a model of its states: the calls that are open,
+// whether it was asked to part, and since when it is idle.
+func TestConnectionStates(t *testing.T) {
+	testkit.Steps(t, func(*rapid.T) map[string]func(*rapid.T) {
+		r := newRouter()
+		open := map[int32]replica.Reply{}
+		var wire []byte // written by the router, not yet read
+		seq, used, parted, ended, asked, sent := int32(0), r.clock.Now(), 0, false, map[int32]bool{}, 0
+		return map[string]func(*rapid.T){
+			"write": func(rt *rapid.T) {
+				if seq++; seq%4 == 0 {
+					wire = append(wire, message("isWell", seq, nil, "")...)
+				} else {
+					wire = append(wire, message("serve", seq, fields(), rapid.StringN(0, 9, -1).Draw(rt, "body"))...)
+				}
+				asked[seq] = true
+			},
+			"read": func(rt *rapid.T) {
+				n, before, had := rapid.IntRange(0, len(wire)).Draw(rt, "bytes"), len(r.core.requests), len(r.out)
+				if len(open) > maxOpen-20 || ended {
+					return
+				}
+				if err := r.feed(wire[:n]); err != nil {
+					rt.Fatal(err)
+				}
+				wire = wire[n:]
+				for _, q := range r.core.requests[before:] {
+					open[q.Reply.(*call).seq] = q.Reply
+				}
+				if len(r.core.requests) > before || len(r.out) > had {
+					used = r.clock.Now()
+				}
+			},
+			"answer": func(*rapid.T) {
+				for s, reply := range open {
+					reply.Answer(replica.Answer{Kind: replica.Failed})
+					delete(open, s)
+					used = r.clock.Now()
+					return
+				}
+			},
+			"part": func(*rapid.T) { r.part(); parted++ },
+			"end":  func(rt *rapid.T) { ended = rapid.IntRange(0, 30).Draw(rt, "end") == 0 || ended; endIf(r, ended) },
+			"wait": func(*rapid.T) { r.clock.Advance(time.Second) },
+			"": func(rt *rapid.T) {
+				for len(r.out) > 0 {
+					h, _ := r.next()
+					switch {
+					case h.Name == "goaway":
+						if sent++; sent > 1 || parted == 0 || h.Type != thrift.Oneway {
+							rt.Fatalf("goaway number %d after %d partings", sent, parted)
+						}
+					case !asked[h.Seq] || open[h.Seq] != nil || h.Type != thrift.Reply:
+						rt.Fatalf("answer %+v to no open call", h)
+					}
+					delete(asked, h.Seq)
+				}
+				idle := len(open) == 0 && r.clock.Now()-used >= 2*time.Second
+				if got := r.idle(2 * time.Second); got != idle || r.open != len(open) {
+					rt.Fatalf("idle %v, want %v; %d calls open, want %d", got, idle, r.open, len(open))
+				}
+			},
+		}
+	})
+}
+
+func endIf(r *router, ended bool) {
+	if ended {
+		r.end()
+	}
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add(message("serve", 1, fields(), "body"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, parts := newRouter(), newRouter()
+		err := whole.feed(bytes.Clone(in))
+		for i := range in {
+			if parts.feed(in[i:i+1]) != nil {
+				break
+			}
+		}
+		if err == nil && !bytes.Equal(whole.out, parts.out) {
+			t.Errorf("in parts %x, as a whole %x", parts.out, whole.out)
+		}
+	})
+}
--- a/internal/replica/keys.go
+++ b/internal/replica/keys.go
@@ -12,6 +12,7 @@
 	name    string
 	holder  policy.RequestID
 	until   time.Duration // tries that came to the machine before it are linked
+	dropAt  time.Duration // later than until: a try that came inside the window may be read long after it
 	ran     bool          // the holder was given to the engine
 	over    bool          // its run has ended
 	ok      bool          // with a result
@@ -64,7 +65,7 @@
 
 // keep enters a request, in place of an entry whose time is over.
 func (t *keyTable) keep(req *request, until time.Duration) *key {
-	k := &key{name: name(req), holder: req.id, until: until}
+	k := &key{name: name(req), holder: req.id, until: until, dropAt: until + req.class.Deadline}
 	if k.name == "" {
 		return nil
 	}
@@ -107,7 +108,7 @@
 	for _, k := range t.order[:min(len(t.order), 64)] {
 		switch {
 		case t.byHolder[k.holder] != k: // dropped before
-		case now > k.until && k.over:
+		case now > k.dropAt && k.over:
 			t.drop(k)
 		default:
 			t.order = append(t.order[:0], t.order[n:]...)
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,256 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairnlane/internal/assert"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/engine"
+	"cairnlane/internal/testkit"
+	"cairnlane/policy"
+)
+
+const ms = time.Millisecond
+
+// bench is a replica with an engine and routers that are played by the test.
+type bench struct {
+	*Replica
+	clock  *testkit.Clock
+	up     bool     // the link to the engine
+	runs   []string // RUNs written, by txn
+	tries  map[string]*try
+	faults []string
+}
+
+// try is what the test knows of a try; it is the Reply of its request.
+type try struct {
+	b       *bench
+	txn     string
+	unique  string
+	door    time.Duration
+	due     time.Duration
+	started bool
+	over    bool
+	answers []Answer
+}
+
+func (t *try) Answer(a Answer) {
+	a.Body = slices.Clone(a.Body)
+	if t.answers = append(t.answers, a); len(t.answers) > 1 {
+		t.b.faults = append(t.b.faults, t.txn+" is answered twice")
+	}
+	if a.Kind == Refused && t.started && t.unique != "" {
+		t.b.faults = append(t.b.faults, t.txn+" is refused though it ran")
+	}
+	if late := t.b.clock.Now() - t.due; late > 60*ms {
+		t.b.faults = append(t.b.faults, fmt.Sprintf("%s is answered %v late", t.txn, late))
+	}
+}
+
+func (b *bench) AskGauges() {}
+
+func (b *bench) Run(txn, class string, body []byte) bool {
+	if !b.up {
+		return false
+	}
+	b.runs = append(b.runs, txn)
+	me := b.tries[txn]
+	for _, other := range b.tries {
+		if other != me && me.unique != "" && other.unique == me.unique && other.started && me.door < other.door+window {
+			b.faults = append(b.faults, fmt.Sprintf("%s runs after %s", txn, other.txn))
+		}
+	}
+	me.started = true
+	return true
+}
+
+const window = 5 * time.Second
+
+func newBench(t interface{ Fatal(...any) }) *bench {
+	b := &bench{clock: testkit.NewClock(), tries: map[string]*try{}}
+	cfg := policy.Config{Seed: 1, Cores: 2, MemoryKB: 10000, RunFactor: 8, KeyKB: 10, FallFactor: 6, AnswerSlack: 60 * ms,
+		DrainGrace: time.Second, Signal: policy.RankFloor, MaxHoldOff: time.Second, Classes: []policy.Class{
+			{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
+			{Name: "save", Aim: time.Second, Deadline: 3 * time.Second, Worth: 4, Semantics: policy.Keyed, Window: window}}}
+	r, err := New(Config{Policy: cfg, OnCores: 1, ResultBytes: 64}, b.clock, b, new(counters.Set))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Replica = r
+	b.attach()
+	return b
+}
+
+func (b *bench) attach() { b.Attached(func() { b.up = true }) }
+
+// arrive has a try read now that came to the machine a while ago; unique makes it a keyed one.
+func (b *bench) arrive(unique string, ago, limit time.Duration) *try {
+	t := &try{b: b, txn: fmt.Sprintf("%016x", len(b.tries)+1), unique: unique, door: b.clock.Now() - ago}
+	t.due = max(t.door+limit, b.clock.Now())
+	b.tries[t.txn] = t
+	class := "read"
+	if unique != "" {
+		class = "save"
+	}
+	if err := b.Arrive(Request{Txn: t.txn, Class: class, Body: []byte(t.txn), KB: 10, Door: time.Unix(0, int64(t.door)),
+		Limit: limit, Unique: unique, Reply: t}); err != nil {
+		b.faults = append(b.faults, err.Error())
+	}
+	return t
+}
+
+// end has the engine end a run.
+func (b *bench) end(txn string, end engine.End) {
+	b.tries[txn].over = true
+	b.Done(txn, end, 50*ms, []byte("result of "+txn))
+}
+
+func (t *try) want(tt *testing.T, kind Kind, body string) {
+	tt.Helper()
+	if len(t.answers) != 1 || t.answers[0].Kind != kind || string(t.answers[0].Body) != body {
+		tt.Errorf("%s: answers %+v, want one of kind %d with %q", t.txn, t.answers, kind, body)
+	}
+}
+
+func TestRepeatsShareTheOneRun(t *testing.T) {
+	b := newBench(t)
+	first, second := b.arrive("k", 0, time.Second), b.arrive("k", 0, time.Second)
+	b.end(first.txn, engine.Fine)
+	third := b.arrive("k", 0, time.Second) // over already: its end is told to the module after Arrive returned
+	for _, x := range []*try{first, second, third} {
+		x.want(t, Served, "result of "+first.txn)
+	}
+	if len(b.runs) != 1 || len(b.live) != 0 {
+		t.Errorf("runs %v, %d live", b.runs, len(b.live))
+	}
+}
+
+func TestARunThatFailsFailsItsRepeats(t *testing.T) {
+	b := newBench(t)
+	first, second := b.arrive("k", 0, time.Second), b.arrive("k", 0, time.Second)
+	b.Rejected(first.txn)
+	for _, x := range []*try{first, second, b.arrive("k", 0, time.Second)} {
+		x.want(t, Failed, "")
+	}
+}
+
+func TestTheWindowCountsFromTheDoorOfTheTryThatRan(t *testing.T) {
+	b := newBench(t)
+	first := b.arrive("k", 500*ms, 2*time.Second)
+	b.end(first.txn, engine.Fine)
+	b.clock.Advance(window - 501*ms)
+	inside := b.arrive("k", 0, time.Second)
+	b.clock.Advance(3 * time.Second)
+	late := b.arrive("k", 3*time.Second, 4*time.Second) // came inside it, read long after
+	outside := b.arrive("k", 0, time.Second)
+	inside.want(t, Served, "result of "+first.txn)
+	late.want(t, Served, "result of "+first.txn)
+	if len(outside.answers) != 0 || len(b.runs) != 2 {
+		t.Errorf("after the window: answers %+v, runs %v", outside.answers, b.runs)
+	}
+}
+
+func TestStoredResultsStayInTheirBound(t *testing.T) {
+	b := newBench(t)
+	for i := range 10 {
+		b.end(b.arrive(fmt.Sprint("k", i), 0, time.Second).txn, engine.Fine)
+	}
+	if b.keys.bytes > 64 {
+		t.Errorf("%d bytes of results kept, bound 64", b.keys.bytes)
+	}
+	b.arrive("k0", 0, time.Second).want(t, Failed, "") // ran, its result is gone: neither refused nor run again
+}
+
+func TestAFailedRunIsOnlyEndedByItsNotice(t *testing.T) {
+	b := newBench(t)
+	x := b.arrive("", 0, 300*ms)
+	b.clock.Advance(time.Second)
+	x.want(t, Failed, "")
+	b.end(x.txn, engine.Fine)
+	x.want(t, Failed, "")
+	if len(b.live) != 0 {
+		t.Error("still live")
+	}
+}
+
+func TestRunsThatWereNotToldOfAreSentAgain(t *testing.T) {
+	b := newBench(t)
+	told, lost := b.arrive("", 0, 2*time.Second), b.arrive("k", 0, 2*time.Second)
+	b.up = false
+	waiting := b.arrive("", 0, 2*time.Second) // decided to run while there was no link
+	b.end(told.txn, engine.Fine)              // replayed by the new link
+	b.attach()
+	if want := []string{told.txn, lost.txn, lost.txn, waiting.txn}; !slices.Equal(b.runs, want) {
+		t.Errorf("runs %v, want %v", b.runs, want)
+	}
+}
+
+func TestBadRequestsAreTurnedDown(t *testing.T) {
+	b := newBench(t)
+	b.arrive("", 0, time.Second)
+	now := b.clock.Unix()
+	for name, q := range map[string]Request{
+		"class":  {Txn: "a", Class: "other", Door: now},
+		"key":    {Txn: "a", Class: "save", Door: now},
+		"twice":  {Txn: fmt.Sprintf("%016x", 1), Class: "read", Door: now},
+		"future": {Txn: "a", Class: "read", Door: now.Add(time.Hour)},
+	} {
+		if err := b.Arrive(q); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// TestRulesHoldOverRandomSteps plays routers and an engine whose link breaks, and checks the rules.
+func TestRulesHoldOverRandomSteps(t *testing.T) {
+	testkit.Steps(t, func(rt *rapid.T) map[string]func(*rapid.T) {
+		b, broken := newBench(rt), assert.Failures()
+		drained := false
+		return map[string]func(*rapid.T){
+			"arrive": func(rt *rapid.T) {
+				unique := rapid.SampledFrom([]string{"", "", "a", "b", "c"}).Draw(rt, "unique")
+				b.arrive(unique, time.Duration(rapid.IntRange(0, 400).Draw(rt, "ago"))*ms,
+					time.Duration(rapid.IntRange(0, 3000).Draw(rt, "limit"))*ms)
+			},
+			"end": func(rt *rapid.T) {
+				for _, txn := range b.runs {
+					if !b.tries[txn].over && b.up {
+						b.end(txn, rapid.SampledFrom([]engine.End{engine.Fine, engine.Fine, engine.Fault, engine.Late}).Draw(rt, "end"))
+						return
+					}
+				}
+			},
+			"gauges": func(rt *rapid.T) { b.Gauges([]float64{0, rapid.Float64Range(0, 4).Draw(rt, "on_cores")}) },
+			"break":  func(*rapid.T) { b.up = false },
+			"attach": func(*rapid.T) { b.attach() },
+			"wait":   func(rt *rapid.T) { b.clock.Advance(time.Duration(rapid.IntRange(1, 800).Draw(rt, "ms")) * ms) },
+			"drain": func(rt *rapid.T) {
+				if !drained && rapid.IntRange(0, 40).Draw(rt, "drain") == 0 {
+					drained = true
+					b.Drain(3 * time.Second)
+				}
+			},
+			"": func(rt *rapid.T) {
+				for _, x := range b.tries {
+					if len(x.answers) == 0 && b.clock.Now() > x.due+60*ms {
+						b.faults = append(b.faults, x.txn+" has no answer")
+					}
+				}
+				if len(b.faults) > 0 || assert.Failures() != broken {
+					rt.Fatalf("faults %v, %d invariants broken", b.faults, assert.Failures()-broken)
+				}
+			},
+		}
+	})
+}
+
+func TestSettingsOfTheModuleAreChecked(t *testing.T) {
+	if _, err := New(Config{}, testkit.NewClock(), nil, new(counters.Set)); err == nil {
+		t.Error("no error without settings")
+	}
+}
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -96,6 +96,11 @@
 	if r.Policy.Dependency != policy.NoDependency {
 		return errors.New("configuration: the engine's protocol has no calls, the settings want them")
 	}
+	for _, l := range r.Settings.Lanes {
+		if _, known := semantics[l.Semantics]; !known { // taken for safe, it could run twice
+			return fmt.Errorf("configuration: class %q has unknown semantics %q", l.Name, l.Semantics)
+		}
+	}
 	if r.OnCores < 0 {
 		return errors.New(`configuration: the settings list no gauge "on_cores"`)
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnlane/policy"
+)
+
+const example = "../../examples/config.json"
+
+func read(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+func TestTheExampleIsTranslated(t *testing.T) {
+	r, err := Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.Policy
+	if r.Stop != 3200*time.Millisecond || r.OnCores != 1 || c.Cores != 6 || c.Signal != policy.RankFloor ||
+		c.MaxHoldOff != time.Second || c.AnswerSlack != 60*time.Millisecond || len(c.Classes) != 4 {
+		t.Errorf("read %+v", r)
+	}
+	if k := c.Classes[3]; k.Semantics != policy.Keyed || k.Window != 9618*time.Millisecond || k.Worth != 4 {
+		t.Errorf("class %+v", k)
+	}
+}
+
+func TestBadConfigurationIsNamed(t *testing.T) {
+	good := read(t)
+	for what, change := range map[string][2]string{
+		"configuration":     {"{", "["},
+		`"name"`:            {`"name": "n0"`, `"name": ""`},
+		`"listen"`:          {`"listen": "127.0.0.1:7001"`, `"listen": "here"`},
+		`"seed"`:            {`"seed": "`, `"seed": "x`},
+		`"stop_ms"`:         {`"stop_ms": 3200`, `"stop_ms": 0`},
+		`"limits"`:          {`"sockets": 1024`, `"sockets": -1`},
+		"preemption":        {`"preemption": "off"`, `"preemption": "drop"`},
+		"calls":             {`"depends-on": "off"`, `"depends-on": "common"`},
+		`"on_cores"`:        {`"on_cores"`, `"cores_on"`},
+		"settings":          {`"cores": 6`, `"cores": "six"`},
+		"class \"note-save": {`"semantics": "idempotency_key"`, `"semantics": "odd"`},
+	} {
+		bad := strings.Replace(good, change[0], change[1], 1)
+		if bad == good {
+			t.Fatalf("the example has no %s", change[0])
+		}
+		if _, err := parse([]byte(bad)); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: error %v", what, err)
+		}
+	}
+	for _, path := range []string{"", "no such file"} {
+		if _, err := Load(path); err == nil {
+			t.Errorf("no error for path %q", path)
+		}
+	}
+}
