Set GOMAXPROCS from the limit on cores

Seen: the comment that one P delays timers beside netpoll was a guess. So the limit is taken as it is.

--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -45,7 +46,7 @@
 
 // limit fits the runtime into the limits of the program.
 func limit(l settings.Limits) {
-	runtime.GOMAXPROCS(max(2, int(l.Cores+0.999)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
 }
 
