Tick with gauges asked for at that tick instead of those of the tick before

Routers turned requests away by our feedback while the two nodes left were slow to widen their pools: climb() goes by on_cores, and tick() gave it a reading up to 30 ms old (gaugeEvery, replica.go).

A test holds the order.

--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -146,9 +146,12 @@
 	return true
 }
 
-// AskGauges asks for the gauges unless enough questions are open.
-func (l *Link) AskGauges() {
-	if s := l.current(); s != nil && s.ready.Load() && s.asked.Load() < statsOpen {
-		s.stat()
+// AskGauges asks for the gauges unless enough questions are open. It tells whether it has asked.
+func (l *Link) AskGauges() bool {
+	s := l.current()
+	if s == nil || !s.ready.Load() || s.asked.Load() >= statsOpen {
+		return false
 	}
+	s.stat()
+	return true
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -210,13 +210,16 @@
 	r.ctl.Done(now, req.id, outcome, took)
 }
 
-// Gauges implements engine.Events.
+// Gauges implements engine.Events: the tick that asked for them goes on.
 func (r *Replica) Gauges(values []float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cfg.OnCores < len(values) {
-		r.gauges.OnCores = values[r.cfg.OnCores]
-	}
+	r.enter(func(now time.Duration) {
+		if r.cfg.OnCores < len(values) {
+			r.gauges.OnCores = values[r.cfg.OnCores]
+		}
+		if r.asking {
+			r.ticked(now)
+		}
+	})
 }
 
 // Attached implements engine.Events. What ran by our books and was not told of among the notices that
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,8 +24,8 @@
 type Engine interface {
 	// Run sends a request to the engine; false means that there is no link to send it on.
 	Run(txn, class string, body []byte) bool
-	// AskGauges asks for the gauges, at a bounded rate.
-	AskGauges()
+	// AskGauges asks for the gauges; false means that no answer is to be expected soon.
+	AskGauges() bool
 }
 
 // Request is one try, as read from a router.
@@ -84,8 +84,8 @@
 const (
 	// keyMargin is added to the window of a key: the clocks that count it are not ours alone.
 	keyMargin = time.Second
-	// gaugeEvery is how often the gauges are asked for at the most: two ticks of the module.
-	gaugeEvery = 28 * time.Millisecond
+	// gaugeWait is how long a tick waits for the gauges that it has asked for.
+	gaugeWait = 2 * time.Millisecond
 	// doorAhead is how far in the future a door may lie before it is not believed.
 	doorAhead = time.Minute
 )
@@ -124,7 +124,8 @@
 	owed    int // requests without their answer
 	keys    keyTable
 	gauges  policy.Gauges
-	askedAt time.Duration
+	ticks   int  // ticks begun
+	asking  bool // the present tick waits for its gauges
 	signal  Signal
 	healthy bool
 }
@@ -251,18 +252,33 @@
 	}
 }
 
-// tick is the module's timer.
+// tick is the module's timer. The module is to see the gauges as they are now, not those of the tick
+// before: it climbs by how many cores are idle. So the tick asks first and goes on with the answer,
+// or without one after a moment: an engine that is slow to tell must not delay what is due.
 func (r *Replica) tick() {
 	r.enter(func(now time.Duration) {
-		if now-r.askedAt >= gaugeEvery {
-			r.askedAt = now
-			r.engine.AskGauges()
+		r.ticks++
+		if r.asking = r.engine.AskGauges(); !r.asking {
+			r.ticked(now)
+			return
 		}
-		r.keys.expire(now)
-		r.ctl.Tick(now, r.gauges)
+		mine := r.ticks
+		r.clock.AfterFunc(gaugeWait, func() {
+			r.enter(func(now time.Duration) {
+				if r.asking && r.ticks == mine {
+					r.ticked(now)
+				}
+			})
+		})
 	})
 }
 
+func (r *Replica) ticked(now time.Duration) {
+	r.asking = false
+	r.keys.expire(now)
+	r.ctl.Tick(now, r.gauges)
+}
+
 // Drain takes the notice to leave; the process is stopped after stop.
 func (r *Replica) Drain(stop time.Duration) {
 	r.enter(func(now time.Duration) { r.ctl.Drain(now, now+stop) })
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -25,6 +25,7 @@
 	runs   []string // RUNs written, by txn
 	tries  map[string]*try
 	faults []string
+	asked  int
 }
 
 // try is what the test knows of a try; it is the Reply of its request.
@@ -52,7 +53,7 @@
 	}
 }
 
-func (b *bench) AskGauges() {}
+func (b *bench) AskGauges() bool { b.asked++; return b.up }
 
 func (b *bench) Run(txn, class string, body []byte) bool {
 	if !b.up {
@@ -190,6 +191,22 @@
 	}
 }
 
+// The module used to get the gauges of the tick before, which cost share on days with a lost node.
+func TestATickGoesOnWithTheGaugesItAskedFor(t *testing.T) {
+	b := newBench(t)
+	b.clock.Advance(15 * ms)
+	if b.asked != 1 || !b.asking {
+		t.Fatalf("asked %d times, asking %v", b.asked, b.asking)
+	}
+	if b.Gauges([]float64{0, 3}); b.asking || b.gauges.OnCores != 3 {
+		t.Errorf("still asking %v, gauges %+v", b.asking, b.gauges)
+	}
+	b.clock.Advance(15*ms + gaugeWait) // the second is not answered
+	if b.asked != 2 || b.asking {
+		t.Errorf("asked %d times, asking %v: the tick waits for an answer that does not come", b.asked, b.asking)
+	}
+}
+
 func TestBadRequestsAreTurnedDown(t *testing.T) {
 	b := newBench(t)
 	b.arrive("", 0, time.Second)
