--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -89,7 +89,13 @@
 	c := &conn{}
 	c.out = outbox.New(nc, outputBound, func(error) { nc.Close() })
 	c.session = &session{core: s.core, now: s.now, used: s.now(), send: func(encode func([]byte) []byte) {
-		if err := c.out.Put(encode); err != nil {
+		err := c.out.Put(func(dst []byte) []byte {
+			before := len(dst)
+			dst = encode(dst)
+			s.count.bytesOut.Add(len(dst) - before)
+			return dst
+		})
+		if err != nil {
 			go nc.Close() // its callbacks take locks that the sender may hold
 		}
 	}}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -65,6 +65,9 @@
 	if h, ok := receive(t, c); !ok || h.Type != thrift.Reply || h.Seq != 1 {
 		t.Fatalf("answer %+v, %v", h, ok)
 	}
+	if s.count.bytesIn.Load() == 0 || s.count.bytesOut.Load() == 0 { // what was sent used to go uncounted
+		t.Errorf("%d bytes in, %d out", s.count.bytesIn.Load(), s.count.bytesOut.Load())
+	}
 	bad.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	if _, ok := receive(t, bad); ok {
 		t.Error("garbage is answered")
