--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -54,6 +54,7 @@
 	limit(cfg.Limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to die
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 
@@ -111,7 +112,7 @@
 func leave(clk *clock.System, rep *replica.Replica, server *front.Server, cfg *settings.Replica) {
 	stopAt := clk.Now() + cfg.Stop
 	rep.Drain(cfg.Stop)
-	time.Sleep(min(cfg.Policy.DrainGrace, cfg.Stop/2))
+	time.Sleep(min(cfg.Policy.DrainGrace, cfg.Stop*3/4))
 	server.Leave()
 	for clk.Now() < stopAt-exitBefore {
 		if server.Connections() == 0 && rep.Owed() == 0 {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -5,12 +5,14 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"cairnlane/policy"
 )
 
 // Events takes what the engine tells. The calls come one at a time, in the order of the notices.
 type Events interface {
 	// Done ends a run. The result is only lent for the call.
-	Done(id string, end End, took time.Duration, result []byte)
+	Done(id string, end policy.Outcome, took time.Duration, result []byte)
 	// Rejected says that the engine did not carry out a command for this request.
 	Rejected(id string)
 	// Gauges brings the gauges, in the order of the settings.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -26,8 +26,10 @@
 }
 
 const (
-	outputBound  = 512 << 10 // bytes that a router may leave unread
-	writeTimeout = 3 * time.Second
+	// outputBound is over what the answers to all calls of a connection can take.
+	outputBound = 512 << 10
+	// writeTimeout is longer than any deadline: a router that reads slowly must not lose answers.
+	writeTimeout = time.Minute
 	idleSweep    = 500 * time.Millisecond
 )
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -31,6 +31,9 @@
 
 // feed reads what has come in. An error means that the connection is beyond use.
 func (s *session) feed(p []byte) error {
+	s.mu.Lock()
+	s.used = s.now() // part of a request is use as well: such a connection is not closed as idle
+	s.mu.Unlock()
 	s.in = append(s.in, p...)
 	buf := s.in
 	for {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cairnlane/internal/assert"
-	"cairnlane/internal/engine"
 	"cairnlane/policy"
 )
 
@@ -33,7 +32,7 @@
 	if req.class.Semantics == policy.Keyed {
 		k := r.keys.byName[name(req)]
 		if !assert.That(k != nil && k.holder == req.id, "a keyed try runs only as the holder of its key") {
-			r.queue(func(now time.Duration) { r.ended(now, req, engine.Fault, 0, nil) })
+			r.queue(func(now time.Duration) { r.ended(now, req, policy.Failed, 0, nil) })
 			return
 		}
 	}
@@ -153,13 +152,10 @@
 // Halt implements policy.Host. The engine's protocol has no preemption; the settings are checked for it.
 func (r *Replica) Halt(policy.RequestID) { assert.That(false, "no preemption at this engine") }
 
-// The methods below make the replica the engine.Events of its link.
+// The methods below take what the engine tells, one call at a time.
 
-var outcomes = map[engine.End]policy.Outcome{engine.Fine: policy.Succeeded, engine.Fault: policy.Failed,
-	engine.BrokenOff: policy.Cancelled, engine.Late: policy.Moot}
-
-// Done implements engine.Events.
-func (r *Replica) Done(txn string, end engine.End, took time.Duration, result []byte) {
+// Done takes the end of a run.
+func (r *Replica) Done(txn string, end policy.Outcome, took time.Duration, result []byte) {
 	r.enter(func(now time.Duration) {
 		req := r.txns[txn]
 		if req == nil || !req.running {
@@ -170,20 +166,20 @@
 	})
 }
 
-// Rejected implements engine.Events: the request ends as failed.
+// Rejected takes word that a run was not carried out: the request ends as failed.
 func (r *Replica) Rejected(txn string) {
 	r.enter(func(now time.Duration) {
 		if req := r.txns[txn]; req != nil && req.running {
 			r.count.rejected.Inc()
-			r.ended(now, req, engine.Fault, 0, nil)
+			r.ended(now, req, policy.Failed, 0, nil)
 		}
 	})
 }
 
 // ended takes the end of a run: its answer, unless it has one, and that of all who wait for it.
-func (r *Replica) ended(now time.Duration, req *request, end engine.End, took time.Duration, result []byte) {
+func (r *Replica) ended(now time.Duration, req *request, end policy.Outcome, took time.Duration, result []byte) {
 	a := Answer{Kind: Failed}
-	if end == engine.Fine {
+	if end == policy.Succeeded {
 		a = Answer{Kind: Served, Body: result}
 		r.count.done.Inc()
 	} else {
@@ -194,9 +190,8 @@
 	}
 	req.running = false
 	r.forget(req)
-	outcome := outcomes[end]
 	if k := req.key; k != nil {
-		k.over, k.ok = true, end == engine.Fine
+		k.over, k.ok = true, end == policy.Succeeded
 		if k.ok {
 			r.keys.store(k, result)
 		}
@@ -204,13 +199,13 @@
 		k.waiting = nil
 		for _, w := range waiting {
 			w.waitsOn = nil
-			r.finish(w, a, outcome)
+			r.finish(w, a, end)
 		}
 	}
-	r.ctl.Done(now, req.id, outcome, took)
+	r.ctl.Done(now, req.id, end, took)
 }
 
-// Gauges implements engine.Events: the tick that asked for them goes on.
+// Gauges takes the gauges: the tick that asked for them goes on.
 func (r *Replica) Gauges(values []float64) {
 	r.enter(func(now time.Duration) {
 		if r.cfg.OnCores < len(values) {
@@ -222,7 +217,7 @@
 	})
 }
 
-// Attached implements engine.Events. What ran by our books and was not told of among the notices that
+// Attached takes word that a link is up and open lets runs through. What ran by our books and was not told of among the notices that
 // were missed did not reach the engine, or runs still; sending it again does nothing then.
 func (r *Replica) Attached(open func()) {
 	r.enter(func(time.Duration) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,7 +116,6 @@
 
 	mu      sync.Mutex // the module is entered by one caller at a time
 	ctl     *policy.Controller
-	inside  bool // a method of the module is on the stack
 	after   []func(now time.Duration)
 	nextID  policy.RequestID
 	live    map[policy.RequestID]*request
@@ -164,15 +163,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	r.inside = true
 	f(now)
-	r.inside = false
 	for len(r.after) > 0 {
 		next := r.after[0]
 		r.after = r.after[1:]
-		r.inside = true
 		next(now)
-		r.inside = false
 	}
 	r.after = nil
 }
