Test the whole program: a lost link under a run, and a drain with one open

The test starts the program itself, plays engine and router on ephemeral loopback ports and a catalog that never answers. It waits for lines and answers only, so no sleep decides.

--- /dev/null
+++ b/cmd/cairnlane/drain_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnlane/internal/thrift"
+)
+
+// program is a started replica whose engine and router are the test's.
+type program struct {
+	cmd    *exec.Cmd
+	log    *bufio.Reader
+	engine net.Listener
+	link   net.Conn
+	words  *bufio.Reader // what the engine reads
+	router net.Conn
+}
+
+func start(t *testing.T) *program {
+	t.Helper()
+	p := &program{}
+	var err error
+	if p.engine, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	example, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // a catalog that never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { silent.Close() })
+	config := strings.NewReplacer(`127.0.0.1:7001`, `127.0.0.1:0`, `127.0.0.1:4400`, p.engine.Addr().String(), `127.0.0.1:2379`, silent.Addr().String(),
+		`"drain-grace": 2000000`, `"drain-grace": 1000`).Replace(string(example))
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), "CAIRNLANE_TEST_RUN=1", "RELAY_CONFIG="+path)
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill(); p.engine.Close() })
+	p.log = bufio.NewReader(out)
+	line := p.read(t, p.log, " serves at ")
+	p.attach(t, 0)
+	if p.router, err = net.Dial("tcp", line[strings.LastIndex(line, " ")+1:]); err != nil {
+		t.Fatal(err)
+	}
+	p.router.SetDeadline(time.Now().Add(20 * time.Second))
+	return p
+}
+
+// read passes over lines until one holds the word, and returns it.
+func (p *program) read(t *testing.T, r *bufio.Reader, word string) string {
+	t.Helper()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("no line with %q: %v", word, err)
+		}
+		if strings.Contains(line, word) {
+			return strings.TrimSpace(line)
+		}
+	}
+}
+
+// attach takes the next link and tells, besides HELLO, what was missed.
+func (p *program) attach(t *testing.T, last int, missed ...string) {
+	t.Helper()
+	var err error
+	if p.link, err = p.engine.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	p.link.SetDeadline(time.Now().Add(20 * time.Second))
+	p.words = bufio.NewReader(p.link)
+	p.read(t, p.words, fmt.Sprintf("ATTACH %d\r", last))
+	fmt.Fprintf(p.link, "HELLO running 0\r\n%sSTATS g1 0 0 0 0\r\n", strings.Join(missed, ""))
+}
+
+// ask sends a request and returns the words of its RUN.
+func (p *program) ask(t *testing.T, seq int32) []string {
+	t.Helper()
+	fields := [][2]string{{"verb", "note-save"}, {"txn", fmt.Sprintf("%016x", seq)}, {"unique", fmt.Sprint(seq)},
+		{"door", fmt.Sprint(time.Now().UnixMilli())}, {"lb", "1"}, {"limit", "3000"}, {"ram", "9"}, {"standing", "0.5"}}
+	p.router.Write(thrift.AppendFrame(nil, func(b []byte) []byte {
+		b = thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: "serve", Seq: seq})
+		b = thrift.AppendStringMap(thrift.AppendField(b, thrift.Map, 1), fields)
+		return thrift.AppendStop(thrift.AppendString(thrift.AppendField(b, thrift.String, 2), "note"))
+	}))
+	return strings.Fields(p.read(t, p.words, "RUN "))
+}
+
+// answers reads what comes to the router until the connection ends or n messages are there.
+func (p *program) answers(t *testing.T, n int) (names []string) {
+	t.Helper()
+	var in []byte
+	for buf := make([]byte, 4096); len(names) < n; {
+		payload, rest, err := thrift.Frame(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if payload != nil {
+			r := thrift.NewReader(payload)
+			h := r.Header()
+			_, kind := r.Field()
+			names, in = append(names, fmt.Sprintf("%s %d %d", h.Name, h.Seq, kind)), rest
+			continue
+		}
+		k, err := p.router.Read(buf)
+		if err != nil {
+			return names
+		}
+		in = append(in, buf[:k]...)
+	}
+	return names
+}
+
+// TestALostLinkAndADrainLoseNothing has the link break under a run and the notice to leave come while
+// another run is on: both are answered, each once, and the program ends with 0 and its counters.
+func TestALostLinkAndADrainLoseNothing(t *testing.T) {
+	p := start(t)
+	run := p.ask(t, 1)
+	p.link.Close()
+	p.attach(t, 0, "DONE 1 "+run[1]+" fine 5 2\r\nok\r\n")
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 1 0" {
+		t.Fatalf("after the break: %s", got)
+	}
+	run = p.ask(t, 2)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(p.answers(t, 1), ", "); got != "goaway 0 0" {
+		t.Fatalf("on the notice to leave: %s", got)
+	}
+	fmt.Fprintf(p.link, "DONE 2 %s fine 5 2\r\nok\r\n", run[1])
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 2 0" {
+		t.Fatalf("in the drain: %s", got)
+	}
+	p.router.Close()
+	counters := p.read(t, p.log, "counters: ")
+	io.Copy(io.Discard, p.log)
+	if err := p.cmd.Wait(); err != nil || !strings.Contains(counters, "answers_served=2") ||
+		!strings.Contains(counters, "engine_links_lost=1") || !strings.Contains(counters, "invariants_broken=0") {
+		t.Errorf("exit %v, %s", err, counters)
+	}
+}
--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -78,7 +78,7 @@
 	go link.Keep(ctx, rep)
 	reporter := catalog.NewReporter(cfg.Directory, cfg.Name, set)
 	go reporter.Keep(ctx)
-	log.Printf("%s serves at %s", cfg.Name, cfg.Listen)
+	log.Printf("%s serves at %s", cfg.Name, server.Addr())
 
 	leaving := false
 	for {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -71,6 +71,9 @@
 	return s, nil
 }
 
+// Addr is the address that the listener got.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve() error { return s.loop.Serve(s.ln) }
 
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -31,7 +31,7 @@
 
 func dial(t *testing.T, s *Server) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", s.ln.Addr().String())
+	c, err := net.Dial("tcp", s.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +80,7 @@
 	if h, ok := receive(t, c); !ok || h.Seq != 2 {
 		t.Errorf("answer %+v, %v", h, ok)
 	}
-	if c, err := net.Dial("tcp", s.ln.Addr().String()); err == nil {
+	if c, err := net.Dial("tcp", s.Addr()); err == nil {
 		c.Close()
 		t.Error("connects after leaving")
 	}
