Assert that the module is never entered from its own calls

Seen by breaking the code on purpose: with finish() in host.go telling the module of a repeat's end inside Reuse instead of after it, all tests still passed. All entries now go through replica.call, which asserts that none is on the stack; the random steps fail on that change now.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -75,7 +75,7 @@
 		r.answer(w, a)
 	}
 	r.forget(w)
-	r.queue(func(now time.Duration) { r.ctl.Done(now, w.id, o, 0) })
+	r.queue(func(now time.Duration) { r.call(func() { r.ctl.Done(now, w.id, o, 0) }) })
 }
 
 // Fail implements policy.Host.
@@ -202,7 +202,7 @@
 			r.finish(w, a, end)
 		}
 	}
-	r.ctl.Done(now, req.id, end, took)
+	r.call(func() { r.ctl.Done(now, req.id, end, took) })
 }
 
 // Gauges takes the gauges: the tick that asked for them goes on.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,6 +116,7 @@
 
 	mu      sync.Mutex // the module is entered by one caller at a time
 	ctl     *policy.Controller
+	inside  bool // a method of the module is on the stack
 	after   []func(now time.Duration)
 	nextID  policy.RequestID
 	live    map[policy.RequestID]*request
@@ -172,6 +173,14 @@
 	r.after = nil
 }
 
+// call enters the module, which is never entered again from the actions it takes.
+func (r *Replica) call(method func()) {
+	assert.That(!r.inside, "the module is not entered from its own calls")
+	r.inside = true
+	method()
+	r.inside = false
+}
+
 func (r *Replica) queue(f func(now time.Duration)) { r.after = append(r.after, f) }
 
 // Arrive takes a request that was read. An error means that it was not taken and has no answer yet.
@@ -207,7 +216,7 @@
 		if k := r.keys.find(req); k != nil {
 			in.Earlier = k.holder
 		}
-		r.ctl.Arrive(now, in)
+		r.call(func() { r.ctl.Arrive(now, in) })
 	})
 	return err
 }
@@ -271,12 +280,12 @@
 func (r *Replica) ticked(now time.Duration) {
 	r.asking = false
 	r.keys.expire(now)
-	r.ctl.Tick(now, r.gauges)
+	r.call(func() { r.ctl.Tick(now, r.gauges) })
 }
 
 // Drain takes the notice to leave; the process is stopped after stop.
 func (r *Replica) Drain(stop time.Duration) {
-	r.enter(func(now time.Duration) { r.ctl.Drain(now, now+stop) })
+	r.enter(func(now time.Duration) { r.call(func() { r.ctl.Drain(now, now+stop) }) })
 }
 
 // Owed tells how many requests have no answer yet.
