Find an engine that comes up within 100 ms; drop unread settings

link.go: lastPause was 500 ms, for which runs could wait after the engine was there. Settings held tenants and requests their tenant, which nothing reads. A request that books no memory is malformed by the protocol and gets an exception now.

--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -14,8 +14,8 @@
 
 const (
 	dialTimeout = time.Second
-	firstPause  = 10 * time.Millisecond // before the first try to reconnect; doubles up to lastPause
-	lastPause   = 500 * time.Millisecond
+	firstPause  = 10 * time.Millisecond  // before the first try to reconnect; doubles up to lastPause
+	lastPause   = 100 * time.Millisecond // runs wait for the link, so an engine that comes up is found soon
 	outputBound = 4 << 20
 	statsOpen   = 2 // STATs open at a time: an engine that is slow to answer is asked less
 )
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -75,7 +75,7 @@
 	}
 	q := r.core.requests[0]
 	q.Reply = nil
-	want := replica.Request{Txn: "9b1f03aa5c7e2d41", Class: "page", Tenant: "x", Body: []byte("\x00body"), Caller: 4, Retry: true,
+	want := replica.Request{Txn: "9b1f03aa5c7e2d41", Class: "page", Body: []byte("\x00body"), Caller: 4, Retry: true,
 		KB: 24.5, Rank: 0.625, Door: time.UnixMilli(1764576000123), Limit: 480 * time.Millisecond, Unique: "k"}
 	if got := fmt.Sprintf("%+v", q); got != fmt.Sprintf("%+v", want) {
 		t.Errorf("got  %s\nwant %+v", got, want)
@@ -116,6 +116,7 @@
 		"unknown class":  message("serve", 5, fields([2]string{"verb", "other"}), ""),
 		"unknown method": message("fetch", 5, nil, ""),
 		"no door":        message("serve", 5, fields([2]string{"door", ""}), ""),
+		"no memory":      message("serve", 5, fields([2]string{"ram", "0"}), ""),
 		"NaN":            message("serve", 5, fields([2]string{"ram", "NaN"}), ""),
 		"bad txn":        message("serve", 5, fields([2]string{"txn", "a\r\nRUN x y 0"}), ""),
 		"large body":     message("serve", 5, fields(), strings.Repeat("x", maxBody+1)),
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -49,11 +50,11 @@
 func request(fields map[string]string) (replica.Request, error) {
 	p := parser{fields: fields}
 	q := replica.Request{
-		Txn: fields["txn"], Class: fields["verb"], Tenant: fields["team"], Unique: fields["unique"], Item: fields["item"],
+		Txn: fields["txn"], Class: fields["verb"], Unique: fields["unique"], Item: fields["item"],
 		Retry: fields["second"] == "1",
 		Door:  time.UnixMilli(int64(p.number("door", 1, 1e14))),
 		Limit: time.Duration(p.number("limit", 0, 1e9) * float64(time.Millisecond)),
-		KB:    p.number("ram", 0, 2000),
+		KB:    p.number("ram", math.SmallestNonzeroFloat64, 2000),
 		Rank:  p.number("standing", 0, 1),
 	}
 	if fields["lb"] != "" {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,7 +32,6 @@
 type Request struct {
 	Txn    string // id of the try, unique
 	Class  string
-	Tenant string
 	Body   []byte
 	Caller int
 	Retry  bool
