--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,20 @@
 		t.Errorf("%d idle ones, want 1", n)
 	}
 }
+
+// A router that never reads fills its own output and loses its own connection; others are served.
+func TestARouterThatDoesNotReadStallsNobodyElse(t *testing.T) {
+	s := serve(t, 10)
+	deaf, other := dial(t, s), dial(t, s)
+	var err error
+	for seq := int32(1); err == nil; seq++ { // until its connection is closed for what it leaves unread
+		_, err = deaf.Write(message("serve", seq, fields(), strings.Repeat("x", maxBody)))
+	}
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Error("a router that does not read is never cut off")
+	}
+	other.Write(message("serve", 1, fields(), "body"))
+	if h, ok := receive(t, other); !ok || h.Seq != 1 {
+		t.Errorf("the other router gets %+v, %v", h, ok)
+	}
+}
