Refuse a call whose key belongs to another body, instead of serving it the result

The engine turns down what it does not know, so only an answer that needs no run could be it: Reuse, at a repeat of a keyed request. replica.Arrive (keys.find) linked a try by its key alone, whatever body came with it. Ruled out: ids that are open (turned down before), ids the engine does not know (NO COMMAND, failed), health checks. Now the entry holds a digest of class and body; another body is an error on that call and does not reach the module.

--- a/internal/replica/keys.go
+++ b/internal/replica/keys.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"hash/maphash"
 	"time"
 
 	"cairnlane/policy"
@@ -11,6 +12,7 @@
 type key struct {
 	name    string
 	holder  policy.RequestID
+	content uint64        // digest of class and body, which all tries of a request share
 	until   time.Duration // tries that came to the machine before it are linked
 	dropAt  time.Duration // later than until: a try that came inside the window may be read long after it
 	ran     bool          // the holder was given to the engine
@@ -50,6 +52,20 @@
 	return ""
 }
 
+// contentSeed makes the digests of this process differ from those of others: nobody can aim for two
+// bodies that share one.
+var contentSeed = maphash.MakeSeed()
+
+// content digests what all tries of one keyed request have in common.
+func content(q *Request) uint64 {
+	var h maphash.Hash
+	h.SetSeed(contentSeed)
+	h.WriteString(q.Class)
+	h.WriteByte(0)
+	h.Write(q.Body)
+	return h.Sum64()
+}
+
 // find returns the entry that a new try repeats. What counts is when the try came to the machine,
 // however late it is read.
 func (t *keyTable) find(req *request) *key {
@@ -65,7 +81,7 @@
 
 // keep enters a request, in place of an entry whose time is over.
 func (t *keyTable) keep(req *request, until time.Duration) *key {
-	k := &key{name: name(req), holder: req.id, until: until, dropAt: until + req.class.Deadline}
+	k := &key{name: name(req), holder: req.id, content: req.content, until: until, dropAt: until + req.class.Deadline}
 	if k.name == "" {
 		return nil
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -98,6 +98,7 @@
 	id       policy.RequestID
 	class    *policy.Class
 	door     time.Duration
+	content  uint64 // Keyed: digest of class and body
 	answered bool
 	running  bool // decided to run; its end is awaited
 	sent     bool // RUN was written at least once
@@ -192,6 +193,9 @@
 	if req.class.Semantics == policy.Keyed && q.Unique == "" {
 		return fmt.Errorf("%w: class %q needs a key", ErrRequest, q.Class)
 	}
+	if req.class.Semantics == policy.Keyed {
+		req.content = content(&q)
+	}
 	var err error
 	r.enter(func(now time.Duration) {
 		switch {
@@ -202,6 +206,13 @@
 			err = fmt.Errorf("%w: it came in the future", ErrRequest)
 			return
 		}
+		k := r.keys.find(req)
+		if k != nil && k.content != req.content {
+			// All tries of one request carry the same body. What carries another is no try of it and
+			// must not be handed its result, nor run under its key.
+			err = fmt.Errorf("%w: its key belongs to another body", ErrRequest)
+			return
+		}
 		r.count.read.Inc()
 		if q.Retry {
 			r.count.retries.Inc()
@@ -212,7 +223,7 @@
 		r.owed++
 		in := policy.Request{ID: req.id, Class: class, Retry: q.Retry, Caller: q.Caller, KB: q.KB, Rank: q.Rank,
 			Key: q.Item, Waited: max(now-req.door, 0), Due: req.door + q.Limit}
-		if k := r.keys.find(req); k != nil {
+		if k != nil {
 			in.Earlier = k.holder
 		}
 		r.call(func() { r.ctl.Arrive(now, in) })
