Read the configuration anew on SIGHUP and move the link and the reports under load

Now SIGHUP loads and checks the file; a bad one leaves the old settings in force with one message. Link.Move dials the new engine while the old link works, then flushes and ends it, reads what it still tells, and attaches with the last notice read. Run and AskGauges put under the link's lock, so nothing gets behind the flush. Reports go to the new catalog at once; their time limit is under their period, since a quarter goes unanswered. Also: after any break all runs were sent again (host.go Attached). One whose end crosses that is run twice. Only those are sent that were written less than 150 ms before the engine was last heard: what is older had reached it. Tests: the whole program with SIGHUP under a run, with a bad file and in a drain; the link's move; the reports'; seen to fail.

--- a/cmd/cairnlane/drain_test.go
+++ b/cmd/cairnlane/drain_test.go
@@ -19,6 +19,7 @@
 // program is a started replica whose engine and router are the test's.
 type program struct {
 	cmd    *exec.Cmd
+	path   string // of its configuration
 	log    *bufio.Reader
 	engine net.Listener
 	link   net.Conn
@@ -44,12 +45,12 @@
 	t.Cleanup(func() { silent.Close() })
 	config := strings.NewReplacer(`127.0.0.1:7001`, `127.0.0.1:0`, `127.0.0.1:4400`, p.engine.Addr().String(), `127.0.0.1:2379`, silent.Addr().String(),
 		`"drain-grace": 2000000`, `"drain-grace": 1000`).Replace(string(example))
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	p.path = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(p.path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), "CAIRNLANE_TEST_RUN=1", "RELAY_CONFIG="+path)
+	p.cmd.Env = append(os.Environ(), "CAIRNLANE_TEST_RUN=1", "RELAY_CONFIG="+p.path)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -162,3 +163,69 @@
 		t.Errorf("exit %v, %s", err, counters)
 	}
 }
+
+// reload replaces the configuration and has the program read it anew, until it says so.
+func (p *program) reload(t *testing.T, config, says string) {
+	t.Helper()
+	if err := os.WriteFile(p.path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	p.read(t, p.log, says)
+}
+
+// TestANewConfigurationMovesTheLink has SIGHUP, which used to end the program, come under a run, with a
+// bad file, and in a drain: the runs go on at the new engine, each answered once.
+func TestANewConfigurationMovesTheLink(t *testing.T) {
+	p := start(t)
+	move := func(last int, run string) {
+		t.Helper()
+		good, err := os.ReadFile(p.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { next.Close() })
+		p.reload(t, "{", "the old settings stay in force")
+		old := p.engine
+		p.engine = next
+		p.reload(t, strings.ReplaceAll(string(good), old.Addr().String(), next.Addr().String()), "configuration read anew")
+		if _, err := io.Copy(io.Discard, p.words); err != nil { // our side ends
+			t.Fatal(err)
+		}
+		p.link.Close()
+		p.attach(t, last)
+		p.read(t, p.words, "RUN "+run) // it may have been lost with the link; the engine knows if not
+	}
+	run := p.ask(t, 1)
+	move(0, run[1])
+	fmt.Fprintf(p.link, "DONE 1 %s fine 5 2\r\nok\r\n", run[1])
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 1 0" {
+		t.Fatalf("after the move: %s", got)
+	}
+	run = p.ask(t, 2)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(p.answers(t, 1), ", "); got != "goaway 0 0" {
+		t.Fatalf("on the notice to leave: %s", got)
+	}
+	move(1, run[1])
+	fmt.Fprintf(p.link, "DONE 2 %s fine 5 2\r\nok\r\n", run[1])
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 2 0" {
+		t.Fatalf("in the drain: %s", got)
+	}
+	p.router.Close()
+	counters := p.read(t, p.log, "counters: ")
+	io.Copy(io.Discard, p.log)
+	if err := p.cmd.Wait(); err != nil || !strings.Contains(counters, "answers_served=2") ||
+		!strings.Contains(counters, "configurations_reloaded=2") || !strings.Contains(counters, "configurations_turned_down=2") ||
+		!strings.Contains(counters, "invariants_broken=0") {
+		t.Errorf("exit %v, %s", err, counters)
+	}
+}
--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -34,9 +34,10 @@
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	cfg, err := settings.Load(os.Getenv("RELAY_CONFIG"))
+	path := os.Getenv("RELAY_CONFIG")
+	cfg, err := settings.Load(path)
 	if err == nil {
-		err = run(cfg)
+		err = run(path, cfg)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cairnlane:", err)
@@ -50,17 +51,17 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
 }
 
-func run(cfg *settings.Replica) error {
+func run(path string, cfg *settings.Replica) error {
 	limit(cfg.Limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to die
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 
 	set := new(counters.Set)
 	clk := clock.NewSystem()
-	link := engine.NewLink(cfg.Engine, set)
+	link := engine.NewLink(cfg.Engine, clk.Now, set)
 	var server *front.Server
 	rep, err := replica.New(replica.Config{Policy: cfg.Policy, OnCores: cfg.OnCores,
 		ResultBytes: int(cfg.Limits.MemoryMB << 20 / resultShare),
@@ -80,6 +81,7 @@
 	go reporter.Keep(ctx)
 	log.Printf("%s serves at %s", cfg.Name, server.Addr())
 
+	reloads, badReloads := set.Get("configurations_reloaded"), set.Get("configurations_turned_down")
 	leaving := false
 	for {
 		select {
@@ -93,13 +95,28 @@
 				report(set)
 				continue
 			}
+			if sig == syscall.SIGHUP { // in a drain as well: its runs still end at the engine
+				next, err := cfg.Reload(path)
+				if err != nil {
+					badReloads.Inc()
+					log.Print("the old settings stay in force: ", err)
+					continue
+				}
+				reloads.Inc()
+				cfg = next
+				link.Move(cfg.Engine)
+				reporter.Move(cfg.Directory)
+				log.Printf("configuration read anew: engine %s, directory %s", cfg.Engine, cfg.Directory)
+				continue
+			}
 			if leaving {
 				continue
 			}
 			leaving = true
+			stopped := cfg
 			go func() {
 				reporter.Leave()
-				leave(clk, rep, server, cfg)
+				leave(clk, rep, server, stopped)
 				report(set)
 				os.Exit(0)
 			}()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,13 +16,17 @@
 
 const (
 	// Period between reports. An entry lapses 3 s after the last one, so three may fail in a row.
-	Period  = 700 * time.Millisecond
-	timeout = 900 * time.Millisecond
+	Period = 700 * time.Millisecond
+	// timeout is under the period: a report that is not answered, which may count all the same, must not
+	// delay the next.
+	timeout = 500 * time.Millisecond
 )
 
 // Reporter reports a name as passing, or as critical once it leaves.
 type Reporter struct {
-	target  string
+	name    string
+	addr    atomic.Pointer[string]
+	moved   chan struct{} // the address is another one now
 	client  http.Client
 	leaving atomic.Bool
 	sent    *counters.Counter
@@ -31,12 +35,27 @@
 
 // NewReporter reports name to the catalog at addr.
 func NewReporter(addr, name string, set *counters.Set) *Reporter {
-	return &Reporter{
-		target: "http://" + addr + "/catalog/register/" + url.PathEscape(name),
+	r := &Reporter{
+		name: name, moved: make(chan struct{}, 1),
 		client: http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2,
 			DisableCompression: true}},
 		sent: set.Get("catalog_reports"), failed: set.Get("catalog_reports_failed"),
 	}
+	r.addr.Store(&addr)
+	return r
+}
+
+// Move has the reports go to the catalog at addr, the next one at once: the old catalog's word may no
+// longer count.
+func (r *Reporter) Move(addr string) {
+	if *r.addr.Swap(&addr) == addr {
+		return
+	}
+	r.client.CloseIdleConnections()
+	select {
+	case r.moved <- struct{}{}:
+	default:
+	}
 }
 
 // Leave makes the next report the last: the entry lapses by itself.
@@ -59,6 +78,7 @@
 		}
 		select {
 		case <-tick.C:
+		case <-r.moved:
 		case <-ctx.Done():
 			return
 		}
@@ -70,7 +90,8 @@
 	if leaving {
 		status = "critical"
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, r.target, strings.NewReader(`{"status":"`+status+`"}`))
+	target := "http://" + *r.addr.Load() + "/catalog/register/" + url.PathEscape(r.name)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, target, strings.NewReader(`{"status":"`+status+`"}`))
 	if err != nil {
 		return fmt.Errorf("catalog report: %w", err)
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -43,3 +43,27 @@
 		t.Error("no error from a closed port")
 	}
 }
+
+// The catalog used to have one address for good.
+func TestReportsGoToTheNewCatalogAtOnce(t *testing.T) {
+	reports := make(chan string, 8)
+	catalog := func(name string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			w.WriteHeader(http.StatusNoContent)
+			reports <- name
+		}))
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	r := NewReporter(catalog("old"), "n3", new(counters.Set))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.Keep(ctx)
+	if got := <-reports; got != "old" {
+		t.Fatalf("first report to the %s one", got)
+	}
+	r.Move(catalog("new"))
+	if got := <-reports; got != "new" {
+		t.Errorf("after the move a report goes to the %s one", got)
+	}
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -21,9 +21,12 @@
 func (r *recorder) Done(id string, end policy.Outcome, took time.Duration, result []byte) {
 	r.told = append(r.told, fmt.Sprintf("%s %d %v %q", id, end, took, result))
 }
-func (r *recorder) Rejected(id string)          { r.told = append(r.told, "no "+id) }
-func (r *recorder) Gauges(v []float64)          { r.told = append(r.told, fmt.Sprint("gauges ", v)) }
-func (r *recorder) Attached(open func())        { r.told = append(r.told, "attached"); open() }
+func (r *recorder) Rejected(id string) { r.told = append(r.told, "no "+id) }
+func (r *recorder) Gauges(v []float64) { r.told = append(r.told, fmt.Sprint("gauges ", v)) }
+func (r *recorder) Attached(_ time.Duration, open func()) {
+	r.told = append(r.told, "attached")
+	open()
+}
 func (r *recorder) want(t *testing.T, w string) { t.Helper(); equal(t, strings.Join(r.told, "; "), w) }
 
 func equal(t *testing.T, got, want string) {
@@ -36,7 +39,7 @@
 // link is a session whose output is kept.
 func link(mem *memory) (*session, *recorder, *bytes.Buffer) {
 	rec, out := new(recorder), new(bytes.Buffer)
-	s := &session{memory: mem, events: rec, send: func(encode func([]byte) []byte) { out.Write(encode(nil)) }}
+	s := &session{memory: mem, events: rec, now: testkit.NewClock().Now, send: func(encode func([]byte) []byte) { out.Write(encode(nil)) }}
 	s.begin()
 	return s, rec, out
 }
@@ -54,8 +57,8 @@
 	}
 	equal(t, out.String(), "ATTACH 3\r\nSTAT g1\r\n")
 	rec.want(t, `bb 0 2.5ms "\r\n\r\n"; attached; gauges [0.5 3 0.1 9]`)
-	if mem.last != 5 || !s.ready.Load() {
-		t.Errorf("last %d, ready %v", mem.last, s.ready.Load())
+	if mem.last != 5 || s.state.Load() != ready {
+		t.Errorf("last %d, state %v", mem.last, s.state.Load())
 	}
 }
 
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"log"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -18,37 +19,74 @@
 	lastPause   = 100 * time.Millisecond // runs wait for the link, so an engine that comes up is found soon
 	outputBound = 4 << 20
 	statsOpen   = 2 // STATs open at a time: an engine that is slow to answer is asked less
+	// lossSpan is how long before the last word of the engine a command may have been written and still
+	// be lost with the link. The protocol says 50 ms; the rest is for what stood in buffers.
+	lossSpan = 150 * time.Millisecond
+	// retireTime is how long a link that is replaced may take to end by itself.
+	retireTime = 100 * time.Millisecond
+	retirePoll = time.Millisecond
 )
 
 // Link keeps a connection to the engine open.
 type Link struct {
-	addr   string
 	events Events
+	now    func() time.Duration
 	runs   *counters.Counter
 	lost   *counters.Counter
+	moves  *counters.Counter
+	moved  chan struct{} // the address is another one now
 
 	reading sync.Mutex // held while notices are told: an old link never tells beside a new one
 	mem     memory
 
-	mu   sync.Mutex // guards sess; never held while events are told
-	sess *session   // nil while there is no link
+	mu   sync.Mutex // guards addr and sess; never held while events are told
+	addr string
+	sess *session // nil while there is no link
 }
 
 // NewLink returns a link to addr that is not open yet.
-func NewLink(addr string, set *counters.Set) *Link {
-	return &Link{addr: addr, runs: set.Get("engine_runs_sent"), lost: set.Get("engine_links_lost")}
+func NewLink(addr string, now func() time.Duration, set *counters.Set) *Link {
+	return &Link{addr: addr, now: now, moved: make(chan struct{}, 1), runs: set.Get("engine_runs_sent"),
+		lost: set.Get("engine_links_lost"), moves: set.Get("engine_links_moved")}
 }
 
-// Keep opens the link and opens it again whenever it breaks, until ctx ends. Events come from the
-// connection's callbacks and never before Keep is called.
+// Move has the link go on at addr. The present one is used until the new one is accepted.
+func (l *Link) Move(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addr == addr {
+		return
+	}
+	l.addr = addr
+	l.moves.Inc()
+	select {
+	case l.moved <- struct{}{}:
+	default: // a move that was not begun yet goes to the newest address
+	}
+}
+
+func (l *Link) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addr
+}
+
+// Keep opens the link, opens it again whenever it breaks and moves it, until ctx ends. Events come from
+// the connection's callbacks and never before Keep is called.
 func (l *Link) Keep(ctx context.Context, events Events) {
 	l.events = events
+	var open *connection
 	for pause := firstPause; ctx.Err() == nil; {
 		began := time.Now()
-		if broken, err := l.open(); err == nil {
+		if conn, err := netpoll.DialConnection("tcp", l.address(), dialTimeout); err == nil {
+			l.retire(open)
+			open = l.begin(conn)
 			select {
-			case <-broken:
+			case <-open.broken:
 				l.lost.Inc()
+				open = nil
+			case <-l.moved:
+				continue
 			case <-ctx.Done():
 				return
 			}
@@ -58,43 +96,75 @@
 		}
 		select {
 		case <-time.After(pause):
+		case <-l.moved:
 		case <-ctx.Done():
 		}
 		pause = min(2*pause, lastPause)
 	}
 }
 
-// open dials and attaches. The channel closes when the link has broken.
-func (l *Link) open() (<-chan struct{}, error) {
-	conn, err := netpoll.DialConnection("tcp", l.addr, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	broken := make(chan struct{})
-	out := outbox.New(conn, outputBound, func(error) { conn.Close() })
-	sess := &session{memory: &l.mem, events: l.events, send: func(encode func([]byte) []byte) {
-		if out.Put(encode) != nil {
-			conn.Close()
+// connection is one link, from its dial to its end.
+type connection struct {
+	netpoll.Connection
+	sess   *session
+	out    *outbox.Box
+	broken chan struct{} // closes when the link has ended
+}
+
+// begin attaches a link that was accepted.
+func (l *Link) begin(conn netpoll.Connection) *connection {
+	c := &connection{Connection: conn, broken: make(chan struct{})}
+	c.out = outbox.New(conn, outputBound, func(error) { conn.Close() })
+	c.sess = &session{memory: &l.mem, events: l.events, now: l.now, send: func(encode func([]byte) []byte) {
+		if c.out.Put(encode) != nil {
+			go conn.Close() // its callbacks take locks that the sender may hold
 		}
 	}}
-	l.attach(sess)
+	l.attach(c.sess)
 	leave := sync.OnceFunc(func() {
-		l.detach(sess)
-		out.Close()
-		close(broken)
+		l.detach(c.sess)
+		c.out.Close()
+		close(c.broken)
 	})
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		leave()
 		return nil
 	})
-	conn.SetOnRequest(func(_ context.Context, c netpoll.Connection) error { return l.read(sess, c) })
+	conn.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return l.read(c.sess, nc) })
 	l.reading.Lock()
-	sess.begin()
+	c.sess.begin()
 	l.reading.Unlock()
 	if !conn.IsActive() { // it closed before the callback was in place
 		leave()
 	}
-	return broken, nil
+	return c
+}
+
+// retire ends a link that another one is about to replace. It guards against runs that are lost or
+// doubled by the move: nothing new is written on it, all that was is flushed and followed by the end of
+// our side, and what the engine still tells is read until it closes, or for a moment.
+func (l *Link) retire(c *connection) {
+	if c == nil {
+		return
+	}
+	l.mu.Lock()
+	c.sess.state.Store(retired)
+	l.mu.Unlock()
+	end := time.Now().Add(retireTime)
+	for !c.out.Empty() && time.Now().Before(end) {
+		time.Sleep(retirePoll)
+	}
+	if fd, ok := c.Connection.(interface{ Fd() int }); ok && c.IsActive() {
+		if err := syscall.Shutdown(fd.Fd(), syscall.SHUT_WR); err != nil {
+			log.Print("engine link: end the old one: ", err)
+		}
+	}
+	select {
+	case <-c.broken:
+	case <-time.After(time.Until(end)):
+		c.Close()
+		<-c.broken
+	}
 }
 
 // read takes all that has come in. Garbage from the engine ends the link, which is then taken up anew.
@@ -137,8 +207,10 @@
 // Run sends the request to the engine. It tells whether there is a link that could take it; if not,
 // the caller sends it after Attached.
 func (l *Link) Run(id, class string, body []byte) bool {
-	s := l.current()
-	if s == nil || !s.ready.Load() {
+	l.mu.Lock() // also while it is put: nothing may be put behind the flush of a link that retires
+	defer l.mu.Unlock()
+	s := l.sess
+	if s == nil || s.state.Load() != ready {
 		return false
 	}
 	l.runs.Inc()
@@ -148,8 +220,10 @@
 
 // AskGauges asks for the gauges unless enough questions are open. It tells whether it has asked.
 func (l *Link) AskGauges() bool {
-	s := l.current()
-	if s == nil || !s.ready.Load() || s.asked.Load() >= statsOpen {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sess
+	if s == nil || s.state.Load() != ready || s.asked.Load() >= statsOpen {
 		return false
 	}
 	s.stat()
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cairnlane/internal/counters"
+	"cairnlane/internal/testkit"
 	"cairnlane/policy"
 )
 
@@ -21,9 +22,12 @@
 func (e *toldEvents) Done(id string, _ policy.Outcome, _ time.Duration, result []byte) {
 	e.done <- id + " " + string(result)
 }
-func (e *toldEvents) Rejected(string)      {}
-func (e *toldEvents) Gauges([]float64)     {}
-func (e *toldEvents) Attached(open func()) { open(); e.attached <- struct{}{} }
+func (e *toldEvents) Rejected(string)  {}
+func (e *toldEvents) Gauges([]float64) {}
+func (e *toldEvents) Attached(_ time.Duration, open func()) {
+	open()
+	e.attached <- struct{}{}
+}
 
 // accept takes the next link, checks its ATTACH and answers HELLO, then reads the STAT.
 func accept(t *testing.T, ln net.Listener, last int) (net.Conn, *bufio.Reader) {
@@ -56,7 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	e := &toldEvents{make(chan struct{}, 4), make(chan string, 4)}
-	l := NewLink(ln.Addr().String(), new(counters.Set))
+	l := NewLink(ln.Addr().String(), testkit.NewClock().Now, new(counters.Set))
 	if l.Run("a", "x", nil) {
 		t.Error("a run is taken with no link")
 	}
@@ -86,3 +90,45 @@
 		t.Error("the new link takes no run")
 	}
 }
+
+// A link used to have one address for good. A move flushes and ends the old link, takes what it still
+// tells, and goes on at the new address with the last notice read.
+func TestAMoveLosesAndDoublesNothing(t *testing.T) {
+	old, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	next, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &toldEvents{make(chan struct{}, 4), make(chan string, 4)}
+	l := NewLink(old.Addr().String(), testkit.NewClock().Now, new(counters.Set))
+	go l.Keep(ctx, e)
+	c, r := accept(t, old, 0)
+	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
+	<-e.attached
+	l.Run("aa", "x", nil)
+	l.Move(next.Addr().String())
+	expect(t, r, "RUN aa x 0\r\n") // what was written is not cut off
+	expect(t, r, "\r\n")
+	expect(t, r, "")
+	if l.Run("bb", "x", nil) {
+		t.Error("a run is taken by the link that retires")
+	}
+	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\n")
+	if got := <-e.done; got != "aa ok" {
+		t.Errorf("told %q", got)
+	}
+	c.Close()
+	c, _ = accept(t, next, 1)
+	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
+	<-e.attached
+	if !l.Run("bb", "x", nil) {
+		t.Error("the new link takes no run")
+	}
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -18,33 +18,48 @@
 	// Gauges brings the gauges, in the order of the settings.
 	Gauges(values []float64)
 	// Attached says that the link is up and all that was missed has been told: whatever runs by our
-	// books and was not told of may be sent again. Run takes requests once open was called.
-	Attached(open func())
+	// books, was written after since and was not told of may have been lost and is sent again. Run takes
+	// requests once open was called.
+	Attached(since time.Duration, open func())
 }
 
-// memory is what outlives a link: the number of the last notice read.
-type memory struct{ last int64 }
+// memory is what outlives a link: the number of the last notice read, and when anything was read.
+type memory struct {
+	last  int64
+	heard time.Duration
+}
+
+// The states of a link.
+const (
+	attaching int32 = iota
+	ready           // all that was missed has been read; commands may be written
+	retired         // another link is about to replace this one
+)
 
-// session is the state of one link, from ATTACH on, with no I/O of its own. Only ready, asked and
+// session is the state of one link, from ATTACH on, with no I/O of its own. Only state, asked and
 // tags may be used from elsewhere than the reader.
 type session struct {
 	memory *memory
 	events Events
+	now    func() time.Duration
 	send   func(encode func([]byte) []byte)
 	in     []byte
 	hello  bool
 	sync   string
-	ready  atomic.Bool  // all that was missed has been read
+	since  time.Duration // commands written before it have reached the engine
+	state  atomic.Int32
 	asked  atomic.Int32 // STATs that are open
 	tags   atomic.Int64
 }
 
 func (s *session) begin() {
+	s.since = s.memory.heard - lossSpan
 	s.send(func(dst []byte) []byte { return appendAttach(dst, s.memory.last) })
 }
 
 // feed reads what has come in and tells events of it.
 func (s *session) feed(p []byte) error {
+	s.memory.heard = s.now()
 	s.in = append(s.in, p...)
 	buf := s.in
 	for {
@@ -95,8 +110,8 @@
 
 func (s *session) answered(tag string) {
 	s.asked.Add(-1)
-	if tag == s.sync && !s.ready.Load() {
-		s.events.Attached(func() { s.ready.Store(true) })
+	if tag == s.sync && s.state.Load() == attaching {
+		s.events.Attached(s.since, func() { s.state.CompareAndSwap(attaching, ready) })
 	}
 }
 
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -40,7 +40,7 @@
 		if req.sent {
 			r.count.resent.Inc()
 		}
-		req.sent = true
+		req.sent, req.sentAt = true, r.clock.Now()
 	}
 }
 
@@ -221,14 +221,16 @@
 	})
 }
 
-// Attached takes word that a link is up and open lets runs through. What ran by our books and was not told of among the notices that
-// were missed did not reach the engine, or runs still; sending it again does nothing then.
-func (r *Replica) Attached(open func()) {
+// Attached takes word that a link is up and open lets runs through. What was decided to run, was written
+// after since and was not told of among the notices that were missed may not have reached the engine, or
+// runs still; sending it again does nothing then. What was written before since did reach it and is not
+// sent again: its end may be told at this very moment, and it would run a second time.
+func (r *Replica) Attached(since time.Duration, open func()) {
 	r.enter(func(time.Duration) {
 		open()
 		ids := slices.Sorted(maps.Keys(r.live))
 		for _, id := range ids {
-			if req := r.live[id]; req.running {
+			if req := r.live[id]; req.running && (!req.sent || req.sentAt > since) {
 				r.send(req)
 			}
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -102,6 +102,7 @@
 	answered bool
 	running  bool // decided to run; its end is awaited
 	sent     bool // RUN was written at least once
+	sentAt   time.Duration
 	key      *key // its entry, once kept
 	waitsOn  *key // the try whose outcome it waits for
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -86,7 +86,8 @@
 	return b
 }
 
-func (b *bench) attach() { b.Attached(func() { b.up = true }) }
+// attach takes up the link; all that was written may be lost.
+func (b *bench) attach() { b.Attached(0, func() { b.up = true }) }
 
 // arrive has a try read now that came to the machine a while ago; unique makes it a keyed one.
 func (b *bench) arrive(unique string, ago, limit time.Duration) *try {
@@ -214,6 +215,20 @@
 	}
 }
 
+// Every run that was on used to be sent again after a break. One whose end is told while it is sent would
+// run twice.
+func TestRunsThatReachedTheEngineAreNotSentAgain(t *testing.T) {
+	b := newBench(t)
+	reached := b.arrive("k", 0, 2*time.Second)
+	b.clock.Advance(200 * ms)
+	lost := b.arrive("j", 0, 2*time.Second)
+	b.up = false
+	b.Attached(b.clock.Now()-100*ms, func() { b.up = true })
+	if want := []string{reached.txn, lost.txn, lost.txn}; !slices.Equal(b.runs, want) {
+		t.Errorf("runs %v, want %v", b.runs, want)
+	}
+}
+
 // The module used to get the gauges of the tick before, which cost share on days with a lost node.
 func TestATickGoesOnWithTheGaugesItAskedFor(t *testing.T) {
 	b := newBench(t)
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -42,6 +44,25 @@
 	return parse(raw)
 }
 
+// Reload reads the configuration at path anew for a replica that serves under r. The addresses of the
+// engine and the catalog may change; what the replica is and how it decides may not, since its requests,
+// keys and estimates go on. The seed is new with each start only.
+func (r *Replica) Reload(path string) (*Replica, error) {
+	next, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	next.Seed, next.Policy.Seed = r.Seed, r.Policy.Seed
+	if next.Name != r.Name || next.Listen != r.Listen {
+		return nil, fmt.Errorf("configuration: %s at %s cannot become %s at %s without a restart", r.Name, r.Listen, next.Name, next.Listen)
+	}
+	if !reflect.DeepEqual(next.Policy, r.Policy) || next.Limits != r.Limits || next.OnCores != r.OnCores {
+		log.Print("configuration: new limits and settings need a restart; only the addresses are taken")
+		next.Policy, next.Settings, next.Limits, next.OnCores = r.Policy, r.Settings, r.Limits, r.OnCores
+	}
+	return next, nil
+}
+
 func parse(raw []byte) (*Replica, error) {
 	var f struct {
 		Name, Listen, Engine, Directory, Seed string
