Count a cold replica's warming from the start of its engine, not of its process

Ruled out: refused connections while the old ones are gone; they are tried elsewhere at once (att/r 1.1).

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -16,13 +16,17 @@
 )
 
 // recorder takes the events of a link.
-type recorder struct{ told []string }
+type recorder struct {
+	told []string
+	up   time.Duration
+}
 
 func (r *recorder) Done(id string, end policy.Outcome, took time.Duration, result []byte) {
 	r.told = append(r.told, fmt.Sprintf("%s %d %v %q", id, end, took, result))
 }
-func (r *recorder) Rejected(id string) { r.told = append(r.told, "no "+id) }
-func (r *recorder) Gauges(v []float64) { r.told = append(r.told, fmt.Sprint("gauges ", v)) }
+func (r *recorder) Rejected(id string)        { r.told = append(r.told, "no "+id) }
+func (r *recorder) Gauges(v []float64)        { r.told = append(r.told, fmt.Sprint("gauges ", v)) }
+func (r *recorder) Started(ago time.Duration) { r.up = ago }
 func (r *recorder) Attached(_ time.Duration, open func()) {
 	r.told = append(r.told, "attached")
 	open()
@@ -57,8 +61,8 @@
 	}
 	equal(t, out.String(), "ATTACH 3\r\nSTAT g1\r\n")
 	rec.want(t, `bb 0 2.5ms "\r\n\r\n"; attached; gauges [0.5 3 0.1 9]`)
-	if mem.last != 5 || s.state.Load() != ready {
-		t.Errorf("last %d, state %v", mem.last, s.state.Load())
+	if mem.last != 5 || s.state.Load() != ready || rec.up != 10*time.Millisecond {
+		t.Errorf("last %d, state %v, up for %v", mem.last, s.state.Load(), rec.up)
 	}
 }
 
--- a/internal/engine/lines.go
+++ b/internal/engine/lines.go
@@ -35,8 +35,8 @@
 	number  int64
 	id      string
 	end     policy.Outcome
-	took    time.Duration
-	result  []byte // borrowed from the input
+	took    time.Duration // of a run, or HELLO: since the start of the engine
+	result  []byte        // borrowed from the input
 	tag     string
 	gauges  []float64
 	command string
@@ -98,7 +98,7 @@
 		if len(words) != 2 {
 			return -1, errWords
 		}
-		span(1)
+		n.took = span(1)
 	case "DONE":
 		if len(words) != 5 {
 			return -1, errWords
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -22,8 +22,9 @@
 func (e *toldEvents) Done(id string, _ policy.Outcome, _ time.Duration, result []byte) {
 	e.done <- id + " " + string(result)
 }
-func (e *toldEvents) Rejected(string)  {}
-func (e *toldEvents) Gauges([]float64) {}
+func (e *toldEvents) Started(time.Duration) {}
+func (e *toldEvents) Rejected(string)       {}
+func (e *toldEvents) Gauges([]float64)      {}
 func (e *toldEvents) Attached(_ time.Duration, open func()) {
 	open()
 	e.attached <- struct{}{}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -11,6 +11,8 @@
 
 // Events takes what the engine tells. The calls come one at a time, in the order of the notices.
 type Events interface {
+	// Started says that the engine came up that long ago. It may come up long after this process.
+	Started(ago time.Duration)
 	// Done ends a run. The result is only lent for the call.
 	Done(id string, end policy.Outcome, took time.Duration, result []byte)
 	// Rejected says that the engine did not carry out a command for this request.
@@ -86,6 +88,7 @@
 	switch n.kind {
 	case "HELLO":
 		s.hello = true
+		s.events.Started(n.took)
 		s.sync = s.stat() // what was missed stands between HELLO and the answer to this
 	case "DONE", "NOTE":
 		if n.number <= s.memory.last { // told on an earlier link
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -154,6 +154,12 @@
 
 // The methods below take what the engine tells, one call at a time.
 
+// Started takes word that the engine came up that long ago. The cores are cold from then on: counted from
+// the start of this process, which may wait for them for a while, a cold server would be taken for warm.
+func (r *Replica) Started(ago time.Duration) {
+	r.enter(func(now time.Duration) { r.call(func() { r.ctl.Started(now, ago) }) })
+}
+
 // Done takes the end of a run.
 func (r *Replica) Done(txn string, end policy.Outcome, took time.Duration, result []byte) {
 	r.enter(func(now time.Duration) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -203,6 +203,16 @@
 	return c, nil
 }
 
+// Started tells that the cores of this server came up that long ago: a cold server warms from then on,
+// however long its process has waited for them.
+func (c *Controller) Started(now, ago time.Duration) {
+	c.begin(now)
+	if c.cfg.Cold {
+		c.began = now - ago
+		c.pool = min(c.pool, c.crowd())
+	}
+}
+
 // ---- arrival: guards, then burst allowance, then PIE's dice ----
 
 // Arrive takes a request that was read: it is joined to what it repeats, refused or held.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -501,3 +501,19 @@
 		h.acts = h.acts[:0]
 	}
 }
+
+// A cold server whose process waited for its cores used to be taken for warm once they came.
+func TestAColdServerWarmsFromTheStartOfItsCores(t *testing.T) {
+	cfg := testConfig()
+	cfg.Cold = true
+	c, _ := start(t, cfg)
+	cold := c.crowd()
+	c.Started(cfg.ColdFor, 0)
+	if got := c.crowd(); got != cold {
+		t.Errorf("a crowd of %d when the cores come up, want the cold one of %d", got, cold)
+	}
+	c.Started(2*cfg.ColdFor, cfg.ColdFor) // told again by a later link
+	if got := c.crowd(); got <= cold {
+		t.Errorf("a crowd of %d once warm", got)
+	}
+}
