Try a class that seems too slow now and then, so that a jam cannot shut it out for good

A probe that printed the module's state and its reasons each second: on each of the three replicas one class had a mean run of 390 to 410 ms, learned in the jam, where the others had 10 to 50; all of that class was refused at read by tooLate (45 of 200 a second), so no run ever corrected the mean. Ruled out: dice (p 0), memory, keys, doomed. Now one request of such a class is let through for each referenceDelay in which none was started.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,7 @@
 	marginRuns    = 1.4  // mean runs that must fit before the aim: crowded ones take longer than the mean
 	aheadShare    = 0.6  // share of those held with a tighter aim taken to start first: some are refused
 	workShare     = 0.5  // share of a run that grows with its expected work; the rest is waits
+	trialAbove    = 0.5  // share of the aim above which the mean run of a class may be stale: one is tried
 	sameShare     = 0.01 // shares of the deadline that differ by less are the same patience
 	seenMost      = 50   // most that a caller's usual patience counts for: habits change
 	levelShare    = 0.9  // share of p that callers are asked to hold back; the dice take the rest
@@ -73,13 +74,15 @@
 	answered bool // the final answer is out; what still runs is only waited for
 	ended    bool
 	kept     bool
-	tries    int // calls made
+	trial    bool // runs to correct the mean of its class
+	tries    int  // calls made
 }
 
 type class struct {
 	Class
 	meanRun      float64 // seconds, of successful runs
 	meanExpected float64
+	tried        time.Duration // when one was last started, or held for a trial
 }
 
 // caller holds the share of the deadline most often seen on its tries (a majority count) and its last visit.
@@ -227,6 +230,7 @@
 	c.observe(r)
 	c.unread += time.Duration(unreadWeight * float64(q.Waited-c.unread))
 	c.lastArrival = now
+	r.trial = c.stale(r)
 	c.enter(r, held)
 	heap.Push(&c.dues, entry{r.dueAt, r})
 	if c.worthlessLate(r) && r.aimAt < r.dueAt {
@@ -503,6 +507,9 @@
 // need is the time that a run of r takes, as seen so far.
 func (c *Controller) need(r *request) time.Duration {
 	mean := r.class.meanRun
+	if r.trial {
+		return 0
+	}
 	if r.Expected > 0 && r.class.meanExpected > 0 {
 		share := 1.0 // under pressure a doubtful large request is not worth the cores
 		if c.ahead.dropProb < lastAbove {
@@ -513,6 +520,18 @@
 	return time.Duration(marginRuns * mean * float64(time.Second))
 }
 
+// stale tells whether r is to be tried though runs of its class seem to take too long, as none was of late.
+// It guards against a mean learned in a jam that shuts its class out for good, as no run corrects it. Harm:
+// one run for each referenceDelay that may be late.
+func (c *Controller) stale(r *request) bool {
+	k := r.class
+	if float64(c.need(r)) < trialAbove*float64(k.Aim) || c.now-k.tried <= c.referenceDelay {
+		return false
+	}
+	k.tried = c.now
+	return true
+}
+
 func (c *Controller) tooLate(r *request) bool {
 	return c.now+c.need(r) > c.limit(min(r.aimAt, r.dueAt))
 }
@@ -570,7 +589,7 @@
 	c.enter(r, running)
 	c.peak = max(c.peak, c.count[running])
 	c.starts++
-	c.lastStart = c.now
+	c.lastStart, r.class.tried = c.now, c.now
 	c.host.Run(r.ID)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -517,3 +517,24 @@
 		t.Errorf("a crowd of %d once warm", got)
 	}
 }
+
+// A mean run learned in a jam used to shut its class out for good: all of it was refused as too late, so no
+// run ever corrected the mean.
+func TestAClassThatSeemsTooSlowIsTriedNowAndThen(t *testing.T) {
+	c, h := start(t, testConfig())
+	c.classes[0].meanRun = 3 // seconds; the aim is two
+	now, id, served := time.Second, RequestID(0), 0
+	for ; c.classes[0].meanRun > 1; now += 100 * ms {
+		if id++; id > 1000 {
+			t.Fatalf("a mean of %.1f s after %d arrivals, %d of them served", c.classes[0].meanRun, id, served)
+		}
+		c.Arrive(now, Request{ID: id, KB: 10})
+		if h.take() == fmt.Sprintf("run %d", id) {
+			served++
+			c.Done(now+50*ms, id, Succeeded, 50*ms)
+		}
+	}
+	if share := float64(served) / float64(id); share > 0.3 {
+		t.Errorf("%d of %d tried", served, id)
+	}
+}
