Serve up to the end of the drain's grace instead of a second less

The probe of the module's state in the releases: from 1 s after the notice on, the leaving replica says 1.00 (say(), drainAt+DrainGrace-Heeded) and stands idle (on_cores 0.4 of 12) for the last second of its grace, while the one that is left holds 235 requests and refuses 10%. Ruled out: the cold successor (p 0, no refusals by the dice once it gets requests), refused connections (tried elsewhere at once). Now callers are sent away a tenth of Heeded before the grace ends; then goaway and the closed listener do it as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,6 +50,7 @@
 	retireAbove   = 2    // wait unread, in referenceDelays, above which a server alone in trouble leaves
 	retireRepeats = 0.08 // share refused elsewhere under which it is taken to be alone
 	retireDelays  = 10   // referenceDelays for which it leaves
+	leadShare     = 0.1  // share of Heeded before the end of the grace at which a drain sends callers away
 	stopSlacks    = 2    // answer slacks before the stop by which a drain has answered all
 )
 
@@ -930,7 +931,8 @@
 // leaves sends them away only as the grace runs out: until then its cores still serve.
 func (c *Controller) say() {
 	value := 0.0
-	leaving := c.draining && c.now >= c.drainAt+c.cfg.DrainGrace-c.cfg.Heeded
+	lead := time.Duration(leadShare * float64(c.cfg.Heeded))
+	leaving := c.draining && c.now >= c.drainAt+c.cfg.DrainGrace-lead
 	switch c.cfg.Signal {
 	case NoSignal:
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -538,3 +538,16 @@
 		t.Errorf("%d of %d tried", served, id)
 	}
 }
+
+// A drain used to send its callers away a whole Heeded before its grace was over, while its cores could
+// still serve.
+func TestADrainSendsCallersAwayAsItsGraceEnds(t *testing.T) {
+	cfg := testConfig()
+	cfg.Signal, cfg.Heeded = RankFloor, time.Second
+	c, h := start(t, cfg)
+	c.Drain(0, 3*time.Second)
+	c.Tick(cfg.DrainGrace/2, Gauges{})
+	want(t, h, "health false, signal 0.00")
+	c.Tick(cfg.DrainGrace-cfg.Heeded/20, Gauges{})
+	want(t, h, "signal 1.00")
+}
