Turn down impossible times, and give back the key of what the engine did not know

Rejected ended a run as Failed, so the module's key of it took room for its whole window; 236 such keys fill the 40% share and shut out note-save. Kept as a guard, not as a gain. Now a door or a limit over twice the longest deadline is an error on its call, and TurnedAway ends a run that never was.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -172,16 +172,17 @@
 	})
 }
 
-// Rejected takes word that a run was not carried out: the request ends as failed. It never ran, so its
-// key is free again: a stranger's call under a key must not fail the tries of the request that owns it.
+// Rejected takes word that a run was not carried out: the request ends as failed. It never ran, so the
+// module forgets its key: strangers' calls must not fail the tries of the request that owns the key, nor
+// take the room of keys.
 func (r *Replica) Rejected(txn string) {
 	r.enter(func(now time.Duration) {
 		if req := r.txns[txn]; req != nil && req.running {
 			r.count.rejected.Inc()
-			r.ended(now, req, policy.Failed, 0, nil)
 			if k := req.key; k != nil {
-				r.keys.drop(k)
+				k.ran = false
 			}
+			r.ended(now, req, policy.TurnedAway, 0, nil)
 		}
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -88,6 +88,8 @@
 	keyMargin = time.Second
 	// gaugeWait is how long a tick waits for the gauges that it has asked for.
 	gaugeWait = 2 * time.Millisecond
+	// oldestDeadlines is how many of the longest deadline may have passed since a request came.
+	oldestDeadlines = 2
 	// doorAhead is how far in the future a door may lie before it is not believed.
 	doorAhead = time.Second
 )
@@ -132,6 +134,7 @@
 	asking  bool // the present tick waits for its gauges
 	signal  Signal
 	healthy bool
+	oldest  time.Duration // no request that is read came longer ago
 }
 
 type counts struct {
@@ -150,6 +153,7 @@
 		moot: set.Get("runs_done_unserved"), stray: set.Get("notices_unmatched"), rejected: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
 	for i := range cfg.Policy.Classes {
 		r.classes[cfg.Policy.Classes[i].Name] = i
+		r.oldest = max(r.oldest, oldestDeadlines*cfg.Policy.Classes[i].Deadline)
 	}
 	if r.cfg.Policy.KeyKB <= 0 {
 		r.cfg.Policy.KeyKB = 1e-3 // the module keeps only keys that cost something
@@ -212,6 +216,9 @@
 		case req.door > now+doorAhead:
 			err = fmt.Errorf("%w: it came in the future", ErrRequest)
 			return
+		case now-req.door > r.oldest || q.Limit > r.oldest: // would be taken for a long wait to be read
+			err = fmt.Errorf("%w: it came %v ago and waits %v, no caller does", ErrRequest, now-req.door, q.Limit)
+			return
 		}
 		k := r.keys.find(req)
 		if k != nil && k.content != req.content {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -159,6 +159,9 @@
 	b.arrive("k", 0, time.Second).want(t, Served, "result of "+first.txn)
 	unknown := b.arrive("j", 0, time.Second)
 	b.Rejected(unknown.txn) // it never ran: the next try under its key is new
+	if len(b.keys.byName) != 1 {
+		t.Errorf("%d entries kept, want that of k", len(b.keys.byName))
+	}
 	next := b.arrive("j", 0, time.Second)
 	b.end(next.txn, policy.Succeeded)
 	next.want(t, Served, "result of "+next.txn)
@@ -250,11 +253,13 @@
 	b.arrive("", 0, time.Second)
 	now := b.clock.Unix()
 	for name, q := range map[string]Request{
-		"class":  {Txn: "a", Class: "other", Door: now},
-		"key":    {Txn: "a", Class: "save", Door: now},
-		"twice":  {Txn: fmt.Sprintf("%016x", 1), Class: "read", Door: now},
-		"future": {Txn: "a", Class: "read", Door: now.Add(time.Hour)},
-		"tenant": {Txn: "a", Class: "read", Tenant: "nobody", Door: now},
+		"class":   {Txn: "a", Class: "other", Door: now},
+		"key":     {Txn: "a", Class: "save", Door: now},
+		"twice":   {Txn: fmt.Sprintf("%016x", 1), Class: "read", Door: now},
+		"past":    {Txn: "a", Class: "read", Door: now.Add(-7 * time.Second)},
+		"endless": {Txn: "a", Class: "read", Door: now, Limit: 7 * time.Second},
+		"future":  {Txn: "a", Class: "read", Door: now.Add(time.Hour)},
+		"tenant":  {Txn: "a", Class: "read", Tenant: "nobody", Door: now},
 	} {
 		if err := b.Arrive(q); err == nil {
 			t.Errorf("%s: taken", name)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -608,6 +608,9 @@
 	case r.state == joined:
 	case o == Succeeded:
 		c.learn(r, t)
+	case o == TurnedAway: // it never ran: no dequeue, and its key is free
+		c.starts--
+		c.forget(r)
 	case o == Failed:
 		c.starts-- // a quick failure is no dequeue
 	case o == Cancelled && t > r.class.meanRun: // it would have taken longer still
@@ -822,10 +825,7 @@
 
 // drop ends a request that never ran and forgets its key, so that a repeat counts as new.
 func (c *Controller) drop(r *request) {
-	if r.kept {
-		c.host.Forget(r.ID)
-		delete(c.keys, r.ID)
-	}
+	c.forget(r)
 	if r.class.Semantics == Keyed && r.state == held {
 		c.refused[r.ID] = true
 	}
@@ -834,6 +834,13 @@
 
 // ---- keys ----
 
+func (c *Controller) forget(r *request) {
+	if r.kept {
+		c.host.Forget(r.ID)
+		delete(c.keys, r.ID)
+	}
+}
+
 func (c *Controller) keyCost(r *request) float64 {
 	if r.class.Semantics == Keyed || c.cfg.ShareFor > 0 && r.Key != "" && r.class.Semantics == Safe {
 		return c.cfg.KeyKB
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -551,3 +551,16 @@
 	c.Tick(cfg.DrainGrace-cfg.Heeded/20, Gauges{})
 	want(t, h, "signal 1.00")
 }
+
+// What the engine did not know used to hold the room of its key for the whole window, so that strangers
+// could shut out all keyed requests.
+func TestAKeyOfWhatNeverRanTakesNoRoom(t *testing.T) {
+	c, h := start(t, testConfig())
+	c.Arrive(0, Request{ID: 1, Class: 1, KB: 10})
+	want(t, h, "keep 1, run 1")
+	c.Done(ms, 1, TurnedAway, 0)
+	want(t, h, "forget 1")
+	if len(c.keys) != 0 || c.starts != 0 {
+		t.Errorf("%d keys kept, %g starts counted", len(c.keys), c.starts)
+	}
+}
