Let no stuck key hold back the table, and keep no large buffers for idle connections

From reading, confirmed by the tests, which fail without the change: keys.expire returned at the first entry whose run had not ended, so all made after it stayed (21 of 21 in the test); outbox kept the buffer of its largest batch, up to 512 KiB, and a session its read buffer, for the life of the connection; nothing closed a connection that asked once and stayed before the table was full. Now such an entry is looked at again later, buffers over 16 KiB are let go, and connections idle for caller-idle are closed.

--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve() }()
 	go server.Sweep(ctx)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -62,7 +62,11 @@
 		}
 		buf = rest
 	}
-	s.in = append(s.in[:0], buf...)
+	if len(buf) == 0 {
+		s.in = nil // most connections are idle at any time and need no buffer then
+	} else {
+		s.in = append(s.in[:0], buf...)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.used = s.now() // part of a request is use as well: such a connection is not closed as idle
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -15,6 +15,9 @@
 // ErrClosed says that the box takes no more.
 var ErrClosed = errors.New("outbox: closed")
 
+// spareMost is the largest buffer that is kept for the next batch.
+const spareMost = 16 << 10
+
 // Box is a bounded output buffer in front of a blocking writer.
 type Box struct {
 	sink   io.Writer
@@ -85,6 +88,9 @@
 			b.failed(err)
 		}
 		b.mu.Lock()
+		if cap(batch) > spareMost { // a burst must not be paid for as long as the connection lives
+			batch = nil
+		}
 		b.spare, b.writing = batch, 0
 		if err != nil {
 			b.closed, b.buffered = true, nil
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -63,3 +63,24 @@
 		t.Errorf("error %v after the end", err)
 	}
 }
+
+// The buffer of one large batch used to be kept for as long as the connection lived.
+func TestALargeBufferIsNotKept(t *testing.T) {
+	g := &gate{make(chan []byte), make(chan error)}
+	b := New(g, 1<<20, func(error) {})
+	defer b.Close()
+	for _, n := range []int{spareMost * 4, 1, 1} { // the third write begins once the second is over
+		if err := b.Put(func(dst []byte) []byte { return append(dst, make([]byte, n)...) }); err != nil {
+			t.Fatal(err)
+		}
+		<-g.entered
+		if n == 1 {
+			b.mu.Lock()
+			if cap(b.buffered) > spareMost {
+				t.Errorf("%d bytes kept for the next batch", cap(b.buffered))
+			}
+			b.mu.Unlock()
+		}
+		g.leave <- nil
+	}
+}
--- a/internal/replica/keys.go
+++ b/internal/replica/keys.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// expireMost bounds the entries that are looked at in one tick.
+const expireMost = 64
+
 type keyTable struct {
 	byName   map[string]*key
 	byHolder map[policy.RequestID]*key
@@ -117,20 +120,25 @@
 	}
 }
 
-// expire drops entries whose window is over. One whose run has not ended stays, as a repeat may wait
-// for it; one that has not run goes when the module forgets it.
+// expire drops entries whose window is over. One whose run has not ended stays, as a repeat may wait for
+// it, but is looked at again later: at the head of the order it must not hold back all that came after it.
+// One that has not run goes when the module forgets it.
 func (t *keyTable) expire(now time.Duration) {
-	n := 0
-	for _, k := range t.order[:min(len(t.order), 64)] {
+	for n := min(len(t.order), expireMost); n > 0; n-- {
+		k := t.order[0]
+		kept := t.byHolder[k.holder] == k
+		if kept && now <= k.dropAt {
+			return
+		}
+		t.order[0] = nil
+		t.order = t.order[1:]
 		switch {
-		case t.byHolder[k.holder] != k: // dropped before
-		case now > k.dropAt && k.over:
+		case !kept: // dropped before
+		case k.over:
 			t.drop(k)
 		default:
-			t.order = append(t.order[:0], t.order[n:]...)
-			return
+			k.dropAt = now + keyMargin
+			t.order = append(t.order, k)
 		}
-		n++
 	}
-	t.order = append(t.order[:0], t.order[n:]...)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -183,6 +183,24 @@
 	}
 }
 
+// An entry whose run never ends used to hold back all that were made after it, so the table grew for good.
+func TestAKeyThatNeverEndsHoldsBackNoOther(t *testing.T) {
+	b := newBench(t)
+	stuck := b.arrive("stuck", 0, time.Second)
+	for i := range 20 {
+		b.end(b.arrive(fmt.Sprint("k", i), 0, time.Second).txn, policy.Succeeded)
+	}
+	b.clock.Advance(window + 10*time.Second)
+	if len(b.keys.byName) != 1 || len(b.keys.order) != 1 {
+		t.Errorf("%d entries and %d in order, want the one that runs", len(b.keys.byName), len(b.keys.order))
+	}
+	b.end(stuck.txn, policy.Succeeded)
+	b.clock.Advance(2 * time.Second)
+	if len(b.keys.byName)+len(b.keys.byHolder)+len(b.keys.order) != 0 {
+		t.Error("an entry stays for good")
+	}
+}
+
 func TestStoredResultsStayInTheirBound(t *testing.T) {
 	b := newBench(t)
 	for i := range 10 {
