--- a/cmd/cairnlane/drain_test.go
+++ b/cmd/cairnlane/drain_test.go
@@ -100,7 +100,7 @@
 func (p *program) ask(t *testing.T, seq int32) []string {
 	t.Helper()
 	fields := [][2]string{{"verb", "note-save"}, {"txn", fmt.Sprintf("%016x", seq)}, {"unique", fmt.Sprint(seq)},
-		{"door", fmt.Sprint(time.Now().UnixMilli())}, {"lb", "1"}, {"limit", "3000"}, {"ram", "9"}, {"standing", "0.5"}}
+		{"door", fmt.Sprint(time.Now().UnixMilli())}, {"lb", "1"}, {"team", "hills-college"}, {"limit", "3000"}, {"ram", "9"}, {"standing", "0.5"}}
 	p.router.Write(thrift.AppendFrame(nil, func(b []byte) []byte {
 		b = thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: "serve", Seq: seq})
 		b = thrift.AppendStringMap(thrift.AppendField(b, thrift.Map, 1), fields)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 	}
 	c := r.Policy
 	if r.Stop != 3200*time.Millisecond || r.OnCores != 1 || c.Cores != 6 || c.Signal != policy.RankFloor ||
-		c.MaxHoldOff != time.Second || c.AnswerSlack != 60*time.Millisecond || len(c.Classes) != 4 {
+		c.MaxHoldOff != time.Second || c.AnswerSlack != 60*time.Millisecond || len(c.Classes) != 4 || len(r.Tenants) != 3 {
 		t.Errorf("read %+v", r)
 	}
 	if k := c.Classes[3]; k.Semantics != policy.Keyed || k.Window != 9618*time.Millisecond || k.Worth != 4 {
@@ -35,6 +36,32 @@
 	}
 }
 
+// A new configuration may only move the engine and the catalog; what is already decided by goes on.
+func TestAReloadTakesTheAddressesOnly(t *testing.T) {
+	r, err := Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(old, new string) (*Replica, error) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(read(t), old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return r.Reload(path)
+	}
+	for old, new := range map[string]string{`:4400`: `:4401`, `"seed": "8`: `"seed": "9`, `"cores": 6`: `"cores": 7`} {
+		next, err := reload(old, new)
+		if err != nil || next.Policy.Cores != 6 || next.Policy.Seed != r.Policy.Seed || (next.Engine != r.Engine) != (new == `:4401`) {
+			t.Errorf("%s: %+v, error %v", new, next, err)
+		}
+	}
+	for old, new := range map[string]string{`:7001`: `:7002`, `"name": "n0"`: `"name": "n1"`, `{`: `[`} {
+		if _, err := reload(old, new); err == nil {
+			t.Errorf("%s is taken", new)
+		}
+	}
+}
+
 func TestBadConfigurationIsNamed(t *testing.T) {
 	good := read(t)
 	for what, change := range map[string][2]string{
