--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -21,9 +21,8 @@
 	statsOpen   = 2 // STATs open at a time: an engine that is slow to answer is asked less
 	// lossSpan is how long before the last word of the engine a command may have been written and still
 	// be lost with the link. The protocol says 50 ms; the rest is for what stood in buffers.
-	lossSpan = 150 * time.Millisecond
-	// retireTime is how long a link that is replaced may take to end by itself.
-	retireTime = 100 * time.Millisecond
+	lossSpan   = 150 * time.Millisecond
+	retireTime = 100 * time.Millisecond // see Link
 	retirePoll = time.Millisecond
 )
 
@@ -35,6 +34,8 @@
 	lost   *counters.Counter
 	moves  *counters.Counter
 	moved  chan struct{} // the address is another one now
+	// retireTime is how long a link that is replaced may take to end by itself.
+	retireTime time.Duration
 
 	reading sync.Mutex // held while notices are told: an old link never tells beside a new one
 	mem     memory
@@ -46,7 +47,7 @@
 
 // NewLink returns a link to addr that is not open yet.
 func NewLink(addr string, now func() time.Duration, set *counters.Set) *Link {
-	return &Link{addr: addr, now: now, moved: make(chan struct{}, 1), runs: set.Get("engine_runs_sent"),
+	return &Link{addr: addr, now: now, moved: make(chan struct{}, 1), retireTime: retireTime, runs: set.Get("engine_runs_sent"),
 		lost: set.Get("engine_links_lost"), moves: set.Get("engine_links_moved")}
 }
 
@@ -150,7 +151,7 @@
 	l.mu.Lock()
 	c.sess.state.Store(retired)
 	l.mu.Unlock()
-	end := time.Now().Add(retireTime)
+	end := time.Now().Add(l.retireTime)
 	for !c.out.Empty() && time.Now().Before(end) {
 		time.Sleep(retirePoll)
 	}
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -109,6 +109,7 @@
 	defer cancel()
 	e := &toldEvents{make(chan struct{}, 4), make(chan string, 4)}
 	l := NewLink(old.Addr().String(), testkit.NewClock().Now, new(counters.Set))
+	l.retireTime = time.Minute // the old link ends by itself, however slow this machine is
 	go l.Keep(ctx, e)
 	c, r := accept(t, old, 0)
 	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
