End router connections in one place, and only when nothing whole stands unread

In 25 s 94 connections were evicted 20 to 110 us after they had come, with 27 to 2031 bytes in the kernel or the reader; five were fed after the close (netpoll runs a queued task once more), each took a request that could run, and one answer came to a closed connection: "taken after close: evicted seq=1", 0.23 s later "answer to a closed connection". The order: bytes in the reader, task queued; makeRoom on the poller sees no open call; Close; the task takes the request; its answer goes nowhere. Why they were chosen: clients that carry one health check and hold on were preferred to a router that had only just connected.

Change: internal/decide/conns decides (no I/O): Table orders who is missed least (silent ones that had their time, then health checkers, then idle callers, what has just come last), Ending is the one end for every reason. A close needs a look at the kernel, the reader, the feed, the calls, the outbox and the unacknowledged bytes under the session's lock, and seals the session in the same step. Garbage waits 1 s at most for answers that are owed, ends our side and reads out. Leave takes the backlog first; the exit closes what is quiet.

--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -29,6 +29,7 @@
 	memoryShare  = 0.7
 	resultShare  = 8 // an eighth of the memory may hold results for repeats
 	exitBefore   = 60 * time.Millisecond
+	killBefore   = 10 * time.Millisecond // what is not quiet by then is not waited for
 	drainPoll    = 5 * time.Millisecond
 )
 
@@ -138,7 +139,7 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	for !server.Flushed() && clk.Now() < stopAt {
+	for !server.Close() && clk.Now() < stopAt-killBefore {
 		time.Sleep(drainPoll)
 	}
 }
--- /dev/null
+++ b/internal/decide/conns/table_test.go
@@ -0,0 +1,172 @@
+package conns
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairnlane/internal/testkit"
+)
+
+// TestVictimsComeInTheOrderInWhichTheyAreMissed checks the lists against a plain sort of all connections.
+func TestVictimsComeInTheOrderInWhichTheyAreMissed(t *testing.T) {
+	testkit.Steps(t, func(*rapid.T) map[string]func(*rapid.T) {
+		limits := Limits{Most: 12, Fresh: 250 * time.Millisecond, Silent: 3}
+		table, uses, now := NewTable(limits), map[*Conn]Use{}, time.Hour
+		var order []*Conn // by age, so that ties are settled in one way
+		pick := func(rt *rapid.T) *Conn {
+			if len(order) == 0 {
+				rt.Skip()
+			}
+			return order[rapid.IntRange(0, len(order)-1).Draw(rt, "conn")]
+		}
+		return map[string]func(*rapid.T){
+			"add": func(*rapid.T) {
+				if table.Full() {
+					return
+				}
+				c := new(Conn)
+				order, uses[c] = append(order, c), Use{Last: now}
+				table.Add(c, now)
+			},
+			"remove": func(rt *rapid.T) {
+				c := pick(rt)
+				table.Remove(c)
+				table.Remove(c)
+				delete(uses, c)
+				order = slices.DeleteFunc(order, func(o *Conn) bool { return o == c })
+			},
+			"use": func(rt *rapid.T) {
+				c := pick(rt)
+				uses[c] = Use{Kind: max(uses[c].Kind, Kind(rapid.IntRange(0, 2).Draw(rt, "kind"))), Last: now,
+					Busy: rapid.IntRange(0, 3).Draw(rt, "busy") == 0}
+			},
+			"wait": func(rt *rapid.T) { now += time.Duration(1+rapid.IntRange(0, 200).Draw(rt, "ms")) * time.Millisecond },
+			"": func(rt *rapid.T) {
+				now++ // so that no two uses are at one time
+				use := func(c *Conn) Use { return uses[c] }
+				for range table.Victims(now, use) { // file what was used since; what is offered then is in order
+				}
+				silent := table.Count(Silent)
+				var want []*Conn
+				rank := func(c *Conn) int {
+					u := uses[c]
+					switch fresh := now-u.Last < limits.Fresh; {
+					case u.Busy:
+						return -1
+					case u.Kind == Silent && (!fresh || silent > limits.Silent):
+						return 0
+					case u.Kind == Checker && !fresh:
+						return 1
+					case u.Kind == Caller && !fresh:
+						return 2
+					case u.Kind == Silent:
+						return 3
+					}
+					return -1
+				}
+				for _, c := range order {
+					if rank(c) >= 0 {
+						want = append(want, c)
+					}
+				}
+				slices.SortStableFunc(want, func(a, b *Conn) int {
+					return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(uses[a].Last, uses[b].Last))
+				})
+				var got []*Conn
+				for c := range table.Victims(now, use) {
+					if !slices.Contains(got, c) {
+						got = append(got, c)
+					}
+				}
+				if !slices.Equal(got, want) || table.Len() != len(order) {
+					rt.Fatalf("%d victims, want %d; %d connections, want %d", len(got), len(want), table.Len(), len(order))
+				}
+			},
+		}
+	})
+}
+
+// TestAnEndGoesThroughItsStates checks each reason on a connection that owes answers and on one that does not.
+func TestAnEndGoesThroughItsStates(t *testing.T) {
+	busy, quiet := View{Open: 1}, View{}
+	for why := Evicted; why < reasons; why++ {
+		var e Ending
+		withdrawn := why <= Exit
+		switch got := e.Want(0, why, busy); {
+		case withdrawn && (got != Keep || !e.Takes()):
+			t.Errorf("%v: one in use: action %v, takes calls %v", why, got, e.Takes())
+		case why == Garbage && (got != Keep || e.Takes()):
+			t.Errorf("%v: one that owes answers: action %v, takes calls %v", why, got, e.Takes())
+		case why > Garbage && got != Close:
+			t.Errorf("%v: action %v", why, got)
+		}
+		if e = (Ending{}); e.Want(0, why, quiet) != Close || e.State() != Ended || e.Reason() != why || e.Step(0, busy) != Close {
+			t.Errorf("%v: a quiet one is in state %v for %v", why, e.State(), e.Reason())
+		}
+	}
+	for _, k := range []struct {
+		name  string
+		steps []Action
+		step  func(*Ending, int) Action
+	}{
+		{"its answers are taken", []Action{Keep, HalfClose, Keep, Close}, func(e *Ending, i int) Action {
+			return e.Step([]time.Duration{0, 10, 20, 10 + lingerTime}[i], []View{busy, quiet, quiet, quiet}[i])
+		}},
+		{"its answers do not come", []Action{Keep, Close, Close}, func(e *Ending, i int) Action {
+			return e.Step([]time.Duration{0, answerTime, answerTime}[i], busy)
+		}},
+		{"it sends on", []Action{Keep, Close}, func(e *Ending, i int) Action { e.Discard(i * (DiscardMost + 1)); return e.Step(1, busy) }},
+	} {
+		var e Ending
+		e.Want(0, Garbage, busy)
+		for i, want := range k.steps {
+			if got := k.step(&e, i); got != want {
+				t.Errorf("%s, step %d: action %v, want %v", k.name, i, got, want)
+			}
+		}
+	}
+}
+
+// BenchmarkVictim compares the lists with the look at every connection that they replace, in a full table of which
+// most are in use and whose next victim is wanted.
+func BenchmarkVictim(b *testing.B) {
+	for _, n := range []int{60, 480, 4096, 32768} {
+		table, all, now := NewTable(DefaultLimits(n)), make([]Conn, n), time.Hour
+		uses := make(map[*Conn]Use, n)
+		for i := range all {
+			uses[&all[i]] = Use{Kind: Caller, Last: now + time.Duration(i)}
+			table.file(&all[i], uses[&all[i]])
+		}
+		now += time.Minute
+		b.Run(fmt.Sprintf("lists/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				for c := range table.Victims(now, func(c *Conn) Use { return uses[c] }) {
+					table.Remove(c)
+					now++
+					uses[c] = Use{Kind: Caller, Last: now}
+					table.file(c, uses[c])
+					break
+				}
+				now += time.Second
+			}
+		})
+		b.Run(fmt.Sprintf("plain/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var least *Conn
+				var of Use
+				for i := range all {
+					if u := uses[&all[i]]; !u.Busy && (least == nil || u.Kind < of.Kind || u.Kind == of.Kind && u.Last < of.Last) {
+						least, of = &all[i], u
+					}
+				}
+				now++
+				uses[least] = Use{Kind: Caller, Last: now}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/ends.go
@@ -0,0 +1,229 @@
+package front
+
+import (
+	"context"
+	"log"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cairnlane/internal/decide/conns"
+)
+
+const (
+	sweepPeriod = 250 * time.Millisecond
+	// victimsMost bounds the connections that are looked at to make room for one.
+	victimsMost = 16
+	// fenceTime is the longest that a look may be old when a connection is closed on it: a request that crosses
+	// a close within 50 ms is sent again.
+	fenceTime = 20 * time.Millisecond
+	// backlogTime bounds the wait for connections that the kernel has accepted and we have not.
+	backlogTime = 50 * time.Millisecond
+)
+
+// All router connections are ended in this file, on the word of conns.Ending; a peer that ends its own side is
+// netpoll's matter. Looking and deciding is one step under the session's lock, so that no call is taken between.
+
+// look asks for an end, or carries one on, and tells what is to be done.
+func (c *conn) look(why conns.Reason) conns.Action {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed { // its descriptor may be another's by now
+		return conns.Keep
+	}
+	var v conns.View
+	if c.ending.State() != conns.Ended && why != conns.Broken {
+		v = c.view(c.seen())
+	}
+	if why == conns.None {
+		return c.ending.Step(c.now(), v)
+	}
+	return c.ending.Want(c.now(), why, v)
+}
+
+// seen fills in what stands outside of the session, in the order that conns.View asks for.
+func (c *conn) seen() (v conns.View) {
+	fd := c.fd()
+	// An error leaves the figure at 1: what cannot be looked at is not closed as quiet.
+	if v.Kernel, v.Unacked = 1, 1; fd < 0 {
+		return v
+	}
+	if n, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
+		v.Kernel = n
+	}
+	v.Reader = c.nc.Reader().Len()
+	v.Unsent = !c.out.Empty()
+	if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+		v.Unacked = n
+	}
+	return v
+}
+
+func (c *conn) fd() int {
+	if f, ok := c.nc.(interface{ Fd() int }); ok {
+		return f.Fd()
+	}
+	return -1
+}
+
+// want asks for an end and carries out what is decided. No lock is held by the caller.
+func (s *Server) want(c *conn, why conns.Reason) { s.act(c, c.look(why)) }
+
+// act carries out a decision.
+func (s *Server) act(c *conn, a conns.Action) {
+	switch a {
+	case conns.HalfClose:
+		c.mu.Lock()
+		if !c.closed {
+			if err := syscall.Shutdown(c.fd(), syscall.SHUT_WR); err != nil {
+				log.Print("end our side of a router connection: ", err)
+			}
+		}
+		c.mu.Unlock()
+	case conns.Close:
+		c.mu.Lock()
+		first := !c.shut
+		c.shut = true
+		c.mu.Unlock()
+		if first {
+			s.count.ended[c.ending.Reason()].Inc() // which stays as it is now
+			c.nc.Close()
+		}
+	}
+}
+
+// hasten has the sweep come at once.
+func (s *Server) hasten() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// makeRoom tells whether one more connection may be held. When the table is full, one that is missed least is
+// closed, which guards against clients that hold connections for nothing and would shut the routers out. It is
+// called by the poller, whose hands are empty then.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	victim, room := s.victim()
+	s.mu.Unlock()
+	if victim != nil {
+		s.act(victim, conns.Close)
+	}
+	return room
+}
+
+// victim finds the connection that makes room for a newcomer, if there has to be one. s.mu is held.
+func (s *Server) victim() (victim *conn, room bool) {
+	if !s.table.Full() {
+		return nil, true
+	}
+	tried := 0
+	for f := range s.table.Victims(s.now(), func(f *conns.Conn) conns.Use { return f.Owner.(*conn).use() }) {
+		c := f.Owner.(*conn)
+		if c.look(conns.Evicted) == conns.Close {
+			s.table.Remove(f)
+			return c, true
+		}
+		if tried++; tried == victimsMost {
+			break
+		}
+	}
+	return nil, false
+}
+
+// Sweep ends connections that are idle, overdue or on their way out, until ctx ends.
+func (s *Server) Sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-s.kick:
+		case <-ctx.Done():
+			return
+		}
+		s.sweep(false)
+	}
+}
+
+// sweep ends what is due, or with leaving all that is quiet. The looks that count are taken before the fence:
+// the ones after it tell whether anything has moved since.
+func (s *Server) sweep(leaving bool) {
+	s.mu.Lock()
+	closeIdle := s.closeIdle
+	all := make([]*conn, 0, len(s.conns))
+	for _, c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	type end struct {
+		c   *conn
+		why conns.Reason
+	}
+	var due []end
+	for _, c := range all {
+		why := c.due(closeIdle)
+		switch {
+		case why == conns.None && leaving:
+			why = conns.Exit
+		case why == conns.None:
+			continue
+		}
+		c.mu.Lock()
+		quiet := !c.closed && (c.ending.State() != conns.Serving || c.seen().Kernel == 0)
+		c.mu.Unlock()
+		if quiet {
+			due = append(due, end{c, why})
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	if !s.fence.pass(fenceTime) {
+		return // the poller is busy; the next sweep looks again
+	}
+	for _, e := range due {
+		s.want(e.c, e.why)
+	}
+}
+
+// Leave stops the listening, so that routers are refused at once, and asks those connected to send
+// nothing new. The listening socket is shut down rather than closed: netpoll closes its descriptor
+// twice, which could hit a connection that has got the same number in between. Connections that the kernel
+// has accepted are taken first; they may carry whole requests, and a shutdown would reset them.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true // who comes from now on is asked to part when it has come
+	s.mu.Unlock()
+	for end := time.Now().Add(s.backlogTime); s.backlog() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := syscall.Shutdown(s.ln.Fd(), syscall.SHUT_RD); err != nil {
+		log.Print("stop listening: ", err)
+	}
+	s.mu.Lock()
+	all := make([]*conn, 0, len(s.conns))
+	for _, c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.part()
+	}
+}
+
+// backlog tells whether a connection waits to be accepted.
+func (s *Server) backlog() bool {
+	fds := []unix.PollFd{{Fd: int32(s.ln.Fd()), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+}
+
+// Close ends all connections as they become quiet and tells whether none is left. It is called again until
+// then, or until time is up.
+func (s *Server) Close() bool {
+	s.sweep(true)
+	return s.Connections() == 0
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"sync"
@@ -14,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"cairnlane/internal/counters"
+	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/outbox"
 	"cairnlane/internal/replica"
 )
@@ -31,7 +33,6 @@
 	outputBound = 512 << 10
 	// writeTimeout is longer than any deadline: a router that reads slowly must not lose answers.
 	writeTimeout = time.Minute
-	sweepPeriod  = 250 * time.Millisecond
 	// readBuffer is what the kernel holds of a connection that was not read yet, and chunk what is looked at
 	// in one piece: a client that sends 60 MB must not have them gathered before its first bytes are judged.
 	readBuffer = 64 << 10
@@ -47,11 +48,16 @@
 	loop  netpoll.EventLoop
 	noise rate.Sometimes // lines about garbage: clients that send it do so at full speed
 	count struct {
-		accepted, turned, closed, garbage, bytesIn, bytesOut, idle, overdue, evicted *counters.Counter
+		accepted, turned, closed, bytesIn, bytesOut *counters.Counter
+		ended                                       [conns.Reasons]*counters.Counter
 	}
+	fence       *fence
+	kick        chan struct{} // an end is asked for that should not wait for the sweep
+	backlogTime time.Duration // the longest wait for what the kernel has accepted
 
 	mu        sync.Mutex
 	conns     map[netpoll.Connection]*conn
+	table     *conns.Table
 	closeIdle time.Duration // 0 leaves idle connections to the routers
 	leaving   bool
 }
@@ -59,7 +65,10 @@
 // conn is one router connection.
 type conn struct {
 	*session
-	out *outbox.Box
+	nc   netpoll.Connection
+	out  *outbox.Box
+	file conns.Conn // its place in the table
+	shut bool       // the close is being carried out; guarded by the session's lock
 }
 
 // Listen opens the listener at addr. At most so many connections are accepted.
@@ -72,12 +81,21 @@
 		return nil, fmt.Errorf("listen for routers: receive buffer: %w", err)
 	}
 	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[netpoll.Connection]*conn{},
-		noise: rate.Sometimes{First: 3, Interval: time.Second}}
-	s.count.idle, s.count.overdue = set.Get("connections_closed_idle"), set.Get("connections_closed_overdue")
-	s.count.evicted = set.Get("connections_closed_for_room")
+		table: conns.NewTable(conns.DefaultLimits(most)), kick: make(chan struct{}, 1), backlogTime: backlogTime, noise: rate.Sometimes{First: 3, Interval: time.Second}}
+	for r := range s.count.ended {
+		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
+	}
 	s.count.accepted, s.count.turned = set.Get("connections_accepted"), set.Get("connections_over_limit")
-	s.count.closed, s.count.garbage = set.Get("connections_closed"), set.Get("connections_ended_for_garbage")
+	s.count.closed = set.Get("connections_closed")
 	s.count.bytesIn, s.count.bytesOut = set.Get("bytes_in"), set.Get("bytes_out")
+	// One poller: that it stands in prepare, or that a fence has passed through it, says then that no input is
+	// in its hands (see conns.View).
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
+		return nil, fmt.Errorf("listen for routers: %w", err)
+	}
+	if s.fence, err = newFence(); err != nil {
+		return nil, fmt.Errorf("listen for routers: %w", err)
+	}
 	s.loop, err = netpoll.NewEventLoop(s.read, netpoll.WithOnPrepare(s.prepare))
 	if err != nil {
 		return nil, fmt.Errorf("listen for routers: %w", err)
@@ -93,20 +111,21 @@
 
 type connKey struct{}
 
-// prepare sets up a connection before anything is read from it.
+// prepare sets up a connection before anything is read from it. It is called by the poller.
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
 	ctx := context.Background()
 	if !s.makeRoom() {
 		s.count.turned.Inc()
-		nc.Close()
+		nc.Close() // nothing of it was read, so nothing was run
 		return ctx
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count.accepted.Inc()
 	nc.SetWriteTimeout(writeTimeout)
-	c := &conn{}
-	c.out = outbox.New(nc, outputBound, func(error) { nc.Close() })
+	c := &conn{nc: nc}
+	c.file.Owner = c
+	c.out = outbox.New(nc, outputBound, func(error) { s.want(c, conns.Broken) })
 	c.session = &session{core: s.core, now: s.now, began: s.now(), used: s.now(), send: func(encode func([]byte) []byte) {
 		err := c.out.Put(func(dst []byte) []byte {
 			before := len(dst)
@@ -114,17 +133,19 @@
 			s.count.bytesOut.Add(len(dst) - before)
 			return dst
 		})
-		if err != nil {
-			go nc.Close() // its callbacks take locks that the sender may hold
+		if err != nil && c.ending.Want(s.now(), conns.Deaf, conns.View{}) == conns.Close {
+			s.hasten() // the sender may hold locks that a close takes
 		}
 	}}
 	s.conns[nc] = c
+	s.table.Add(&c.file, c.used)
 	nc.AddCloseCallback(func(nc netpoll.Connection) error {
 		s.mu.Lock()
 		delete(s.conns, nc)
+		s.table.Remove(&c.file)
 		s.mu.Unlock()
 		s.count.closed.Inc()
-		c.end()
+		c.end() // before the descriptor is closed, as the callbacks are called last to first
 		c.out.Close()
 		return nil
 	})
@@ -141,46 +162,35 @@
 		return nc.Close()
 	}
 	r := nc.Reader()
+	if !c.enter() {
+		return s.discard(c, r)
+	}
 	p, err := r.Next(min(r.Len(), chunk)) // called again while there is more
 	if err == nil {
 		s.count.bytesIn.Add(len(p))
 		err = c.feed(p)
 	}
+	c.exit()
 	if err != nil { // garbage ends this connection only
-		s.count.garbage.Inc()
 		s.noise.Do(func() {
-			log.Printf("router connection %v: %v (%d ended so by now)", nc.RemoteAddr(), err, s.count.garbage.Load())
+			log.Printf("router connection %v: %v (%d ended so by now)", nc.RemoteAddr(), err, s.count.ended[conns.Garbage].Load())
 		})
-		nc.Close()
-		return err
+		s.want(c, conns.Garbage)
+		return errors.Join(err, r.Release())
 	}
 	return r.Release()
 }
 
-// makeRoom tells whether one more connection may be held. When the table is full, the one that is least
-// missed is closed: first those that have never carried a good call, then those that are idle longest. It
-// guards against clients that hold connections for nothing and would shut the routers out.
-func (s *Server) makeRoom() bool {
-	s.mu.Lock()
-	if len(s.conns) < s.most {
-		s.mu.Unlock()
-		return true
-	}
-	var least netpoll.Connection
-	var of usage
-	for nc, c := range s.conns {
-		if u := c.usage(); !u.busy && (least == nil || of.good && !u.good || of.good == u.good && u.idle > of.idle) {
-			least, of = nc, u
-		}
-	}
-	delete(s.conns, least)
-	s.mu.Unlock()
-	if least == nil {
-		return false
+// discard throws away what came in on a connection that ends.
+func (s *Server) discard(c *conn, r netpoll.Reader) error {
+	n := r.Len()
+	c.mu.Lock()
+	c.ending.Discard(n)
+	c.mu.Unlock()
+	if err := r.Skip(n); err != nil {
+		return err
 	}
-	s.count.evicted.Inc()
-	least.Close()
-	return true
+	return r.Release()
 }
 
 // CloseIdle sets how long a connection may carry nothing before it is closed.
@@ -190,75 +200,9 @@
 	s.closeIdle = after
 }
 
-// Sweep closes connections that are idle or overdue until ctx ends.
-func (s *Server) Sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-		for _, nc := range s.useless() {
-			nc.Close()
-		}
-	}
-}
-
-// useless lists the connections that are to be closed now, and counts them.
-func (s *Server) useless() []netpoll.Connection {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []netpoll.Connection
-	for nc, c := range s.conns {
-		switch u := c.usage(); {
-		case u.overdue:
-			s.count.overdue.Inc()
-		case s.closeIdle > 0 && !u.busy && u.idle >= s.closeIdle && nc.Reader().Len() == 0:
-			s.count.idle.Inc()
-		default:
-			continue
-		}
-		list = append(list, nc)
-	}
-	return list
-}
-
-// Leave stops the listening, so that routers are refused at once, and asks those connected to send
-// nothing new. The listening socket is shut down rather than closed: netpoll closes its descriptor
-// twice, which could hit a connection that has got the same number in between.
-func (s *Server) Leave() {
-	if err := syscall.Shutdown(s.ln.Fd(), syscall.SHUT_RD); err != nil {
-		log.Print("stop listening: ", err)
-	}
-	s.mu.Lock()
-	s.leaving = true
-	all := make([]*conn, 0, len(s.conns))
-	for _, c := range s.conns {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
-	for _, c := range all {
-		c.part()
-	}
-}
-
 // Connections tells how many router connections are open.
 func (s *Server) Connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
-
-// Flushed tells whether all answers have been taken by their connections.
-func (s *Server) Flushed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		if !c.out.Empty() {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnlane/internal/counters"
+	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/testkit"
 	"cairnlane/internal/thrift"
@@ -30,6 +31,7 @@
 		t.Fatal(err)
 	}
 	go s.Serve()
+	go s.Sweep(t.Context())
 	return s
 }
 
@@ -113,12 +115,14 @@
 	c.Write(message("isWell", 1, nil, ""))
 	receive(t, c)
 	clock.Advance(time.Minute)
-	if n := len(s.useless()); n != 0 {
-		t.Errorf("%d idle ones before a time was set", n)
+	s.sweep(false)
+	if n := s.Connections(); n != 1 {
+		t.Errorf("%d connections before a time was set, want 1", n)
 	}
 	s.CloseIdle(time.Second)
-	if n := len(s.useless()); n != 1 {
-		t.Errorf("%d idle ones, want 1", n)
+	s.sweep(false)
+	if _, ok := receive(t, c); ok || s.count.ended[conns.Idle].Load() != 1 {
+		t.Errorf("an idle connection is kept, %d ended so", s.count.ended[conns.Idle].Load())
 	}
 }
 
@@ -162,7 +166,7 @@
 	if n, err := syscall.GetsockoptInt(s.ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF); err != nil || n > 2*readBuffer {
 		t.Errorf("the kernel takes %d bytes of what was not read (%v)", n, err)
 	}
-	if in := s.count.bytesIn.Load(); in > chunk || s.count.garbage.Load() != 1 {
+	if in := s.count.bytesIn.Load(); in > chunk || s.count.ended[conns.Garbage].Load() != 1 {
 		t.Errorf("%d bytes were looked at of %d sent", in, sent)
 	}
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -6,17 +6,13 @@
 	"time"
 
 	"cairnlane/internal/assert"
+	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/thrift"
 )
 
-const (
-	// maxOpen bounds the requests that are open on one connection. Routers open 32 at most.
-	maxOpen = 64
-	// callTime is how long a client may take to its first good call, and to finish a frame that it has
-	// begun. Routers open a connection when they need it.
-	callTime = 2 * time.Second
-)
+// maxOpen bounds the requests that are open on one connection. Routers open 32 at most.
+const maxOpen = 64
 
 // session is the state of one router connection, with no I/O of its own: bytes come in by feed, and
 // encoded messages go out by send. A second protocol stands beside this one with a session of its own.
@@ -34,9 +30,27 @@
 	open    int        // calls without their answer
 	used    time.Duration
 	partial time.Duration // since when a frame is begun and not whole; 0 when none is
-	good    bool          // a call was taken
-	parted  bool          // goaway was sent
-	closed  bool          // nothing more is sent
+	kind    conns.Kind    // what it has carried
+	feeding bool          // input is taken out of the reader, or being fed
+	ending  conns.Ending
+	parted  bool // goaway was sent
+	closed  bool // nothing more is sent
+}
+
+// enter begins the work on input, before any of it is taken out of the reader. False means that the
+// connection ends and the input is to be thrown away: a call that was taken now would have no answer.
+func (s *session) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feeding = !s.closed && s.ending.Takes()
+	return s.feeding
+}
+
+// exit ends the work on input.
+func (s *session) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feeding = false
 }
 
 // feed reads what has come in. An error means that the connection is beyond use.
@@ -131,9 +145,9 @@
 			c.finish(func(dst []byte) []byte { return appendFault(dst, h, thrift.ProtocolError, err.Error()) })
 			return nil
 		}
-		s.taken()
+		s.taken(conns.Caller)
 	case "isWell":
-		s.taken()
+		s.taken(conns.Checker)
 		good, signal := s.core.Healthy(), s.core.CurrentSignal()
 		c.finish(func(dst []byte) []byte { return appendCheck(dst, h.Seq, good, signal) })
 	default:
@@ -151,10 +165,10 @@
 }
 
 // taken says that a call was a good one.
-func (s *session) taken() {
+func (s *session) taken(kind conns.Kind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.good = true
+	s.kind = max(s.kind, kind)
 }
 
 // call is one call on a connection. It is the replica.Reply of its request.
@@ -194,21 +208,34 @@
 	}
 }
 
-// usage is what decides whether a connection is worth its descriptor.
-type usage struct {
-	busy    bool          // a call is open
-	idle    time.Duration // for how long nothing has come in or gone out
-	good    bool          // it has carried a good call
-	overdue bool          // its first good call, or the rest of a frame, is later than callTime
+// use is what the table files the connection under.
+func (s *session) use() conns.Use {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return conns.Use{Kind: s.kind, Last: s.used, Busy: s.open > 0 || s.feeding}
 }
 
-func (s *session) usage() usage {
+// due tells whether the connection has lasted longer than it may for what it carries, and why.
+func (s *session) due(closeIdle time.Duration) conns.Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	u := usage{busy: s.open > 0, idle: now - s.used, good: s.good}
-	u.overdue = !u.busy && (!s.good && now-s.began >= callTime || s.partial > 0 && now-s.partial >= callTime)
-	return u
+	switch {
+	case s.ending.State() != conns.Serving:
+		return s.ending.Reason()
+	case s.open > 0 || s.feeding:
+	case s.kind == conns.Silent && now-s.began >= conns.CallTime, s.partial > 0 && now-s.partial >= conns.CallTime:
+		return conns.Overdue
+	case closeIdle > 0 && now-s.used >= closeIdle:
+		return conns.Idle
+	}
+	return conns.None
+}
+
+// view completes what was seen of the connection outside of the session; s.mu is held since before that.
+func (s *session) view(v conns.View) conns.View {
+	v.Feeding, v.Partial, v.Open = s.feeding, s.partial > 0, s.open
+	return v
 }
 
 // end says that the connection is closed: what is still answered goes nowhere.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/testkit"
 	"cairnlane/internal/thrift"
@@ -165,7 +166,7 @@
 		open := map[int32]replica.Reply{}
 		var wire []byte  // written by the router, not yet read
 		var begun []byte // read, not yet a whole frame, since
-		began, since, good := r.clock.Now(), time.Duration(0), false
+		began, since, kind := r.clock.Now(), time.Duration(0), conns.Silent
 		seq, used, parted, ended, asked, sent := int32(0), r.clock.Now(), 0, false, map[int32]bool{}, 0
 		return map[string]func(*rapid.T){
 			"write": func(rt *rapid.T) {
@@ -185,12 +186,17 @@
 					rt.Fatal(err)
 				}
 				cut := false
-				for begun = append(begun, wire[:n]...); ; cut, good = true, true {
+				for begun = append(begun, wire[:n]...); ; cut = true {
 					p, rest, _ := thrift.Frame(begun)
 					if p == nil {
 						break
 					}
 					begun = rest
+					if h := thrift.NewReader(p).Header(); h.Name == "serve" {
+						kind = conns.Caller
+					} else {
+						kind = max(kind, conns.Checker)
+					}
 				}
 				if len(begun) == 0 {
 					since = 0
@@ -228,10 +234,16 @@
 					delete(asked, h.Seq)
 				}
 				now := r.clock.Now()
-				want := usage{busy: len(open) > 0, idle: now - used, good: good,
-					overdue: len(open) == 0 && (!good && now >= began+callTime || since > 0 && now >= since+callTime)}
-				if got := r.usage(); got != want || r.open != len(open) {
-					rt.Fatalf("usage %+v, want %+v; %d calls open, want %d", got, want, r.open, len(open))
+				want, due := conns.Use{Kind: kind, Last: used, Busy: len(open) > 0}, conns.None
+				switch idle := now - used; {
+				case len(open) > 0:
+				case kind == conns.Silent && now >= began+conns.CallTime, since > 0 && now >= since+conns.CallTime:
+					due = conns.Overdue
+				case idle >= 3*time.Second:
+					due = conns.Idle
+				}
+				if got, why := r.use(), r.due(3*time.Second); got != want || why != due || r.open != len(open) {
+					rt.Fatalf("use %+v, want %+v; due for %v, want %v; %d calls open, want %d", got, want, why, due, r.open, len(open))
 				}
 			},
 		}
