--- /dev/null
+++ b/internal/state/keystore/keystore_test.go
@@ -0,0 +1,257 @@
+package keystore
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cairnlane/internal/faultfs"
+	"cairnlane/internal/testkit"
+)
+
+var when = time.Unix(0, int64(testkit.Start)).UTC()
+
+func open(t *testing.T, files faultfs.FS, root string) *Store {
+	t.Helper()
+	s, err := Open(files, root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func generation(n int) Generation {
+	return Generation{Key: []byte(fmt.Sprintf("key %d", n)), Chain: [][]byte{{1, byte(n)}, {2}}, Authority: "main", Stored: when}
+}
+
+// TestACutAfterAnyByteLeavesTheOneBefore cuts each file of a store, the newest of its kind, after every byte.
+func TestACutAfterAnyByteLeavesTheOneBefore(t *testing.T) {
+	root := filepath.Join(t.TempDir(), "store")
+	s := open(t, faultfs.Disk{}, root)
+	for n := 1; n <= 2; n++ {
+		for _, err := range []error{s.PutGeneration("site", generation(n)), s.PutAccount("main", Account{URL: fmt.Sprint("u", n)}),
+			s.PutOrder("site", Order{URL: fmt.Sprint("o", n), Begun: when})} {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	read := func() string {
+		g, n, err1 := s.Generation("site")
+		a, err2 := s.Account("main")
+		o, err3 := s.Order("site")
+		if err := errors.Join(err1, err2, err3); err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("%d %s %s %s", n, g.Key, a.URL, o.URL)
+	}
+	cuts := 0
+	for file, want := range map[string]string{"certs/site/gen-00000002": "1 key 1 u2 o2", "accounts/main/account-00000002": "2 key 2 u1 o2",
+		"certs/site/order-00000002": "2 key 2 u2 o1"} {
+		path := filepath.Join(root, file)
+		whole, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n := range whole {
+			if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if got := read(); got != want {
+				t.Fatalf("%s cut after %d bytes: %s, want %s", file, n, got, want)
+			}
+			flipped := append([]byte(nil), whole...)
+			if flipped[n] ^= 0x40; n != 4 && n != 5 { // those are the version's, which is another matter
+				if err := os.WriteFile(path, flipped, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				if got := read(); got != want {
+					t.Fatalf("%s with byte %d flipped: %s, want %s", file, n, got, want)
+				}
+			}
+			cuts++
+		}
+		if err := os.WriteFile(path, whole, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := read(); got != "2 key 2 u2 o2" || cuts < 100 {
+		t.Errorf("put back: %s, after %d cuts", got, cuts)
+	}
+}
+
+// TestAKillOrAFullDiskAtAnyStepKeepsWhatWasKept has each operation of a put fail, and then puts again.
+func TestAKillOrAFullDiskAtAnyStepKeepsWhatWasKept(t *testing.T) {
+	count := faultfs.NewFaulty()
+	s := open(t, count, filepath.Join(t.TempDir(), "store"))
+	for n := 1; n <= 5; n++ {
+		if err := s.PutGeneration("site", generation(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ops := count.Ops()
+	for at := range ops {
+		for _, torn := range []int{-1, 0, 1, 20, 40, 1 << 20} { // -1 is a full disk
+			root := filepath.Join(t.TempDir(), "store")
+			files, kept := faultfs.NewFaulty(), 0
+			if torn < 0 {
+				files.FullAt(at)
+			} else {
+				files.KillAt(at, torn)
+			}
+			s := open(t, files, root)
+			tried := 0
+			for n := 1; n <= 5; n++ {
+				tried = n
+				if err := s.PutGeneration("site", generation(n)); err == nil {
+					kept = n
+				} else if torn >= 0 {
+					break
+				}
+			}
+			again := open(t, faultfs.Disk{}, root)
+			g, _, err := again.Generation("site")
+			if kept == 0 && errors.Is(err, ErrNone) {
+				continue
+			}
+			var got int
+			fmt.Sscanf(string(g.Key), "key %d", &got)
+			if err != nil || got < kept || got > tried {
+				t.Fatalf("operation %d, %d bytes: generation %d is found (%v), %d was kept and %d tried", at, torn, got, err, kept, tried)
+			}
+			if err := again.PutGeneration("site", generation(9)); err != nil {
+				t.Fatal(err)
+			}
+			if g, _, _ := again.Generation("site"); string(g.Key) != "key 9" {
+				t.Fatalf("after the fault, %s is found", g.Key)
+			}
+		}
+	}
+	if ops < 15 {
+		t.Errorf("only %d operations", ops)
+	}
+}
+
+// TestAFullDiskWithRoomAgain fills the disk for a while: the old generation stays, the new one comes with the room.
+func TestAFullDiskWithRoomAgain(t *testing.T) {
+	files := faultfs.NewFaulty()
+	s := open(t, files, filepath.Join(t.TempDir(), "store"))
+	if err := s.PutGeneration("site", generation(1)); err != nil {
+		t.Fatal(err)
+	}
+	for room := range 40 {
+		files.Room(room)
+		if err := s.PutGeneration("site", generation(2)); err == nil {
+			t.Fatalf("a certificate fits in %d bytes", room)
+		}
+		if g, n, err := s.Generation("site"); err != nil || n != 1 || string(g.Key) != "key 1" {
+			t.Fatalf("with room for %d bytes: generation %d, %v", room, n, err)
+		}
+	}
+	files.Room(-1)
+	if err := s.PutGeneration("site", generation(2)); err != nil {
+		t.Fatal(err)
+	}
+	entries, _ := os.ReadDir(filepath.Join(s.root, "certs", "site"))
+	if len(entries) != 2 {
+		t.Errorf("%d files are left, want 2: %v", len(entries), entries)
+	}
+}
+
+func TestWhatOthersMayReadIsRefused(t *testing.T) {
+	root := filepath.Join(t.TempDir(), "store")
+	s := open(t, faultfs.Disk{}, root)
+	if err := s.PutGeneration("site", generation(1)); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(root, "certs", "site", "gen-00000001")
+	os.Chmod(path, 0o640)
+	if _, _, err := s.Generation("site"); !errors.Is(err, ErrLoose) {
+		t.Errorf("a key that the group may read: %v", err)
+	}
+	os.Chmod(path, 0o600)
+	os.Chmod(root, 0o755)
+	if _, err := Open(faultfs.Disk{}, root); !errors.Is(err, ErrLoose) {
+		t.Errorf("a store that all may enter: %v", err)
+	}
+}
+
+func TestANewerFormatIsNotTouched(t *testing.T) {
+	root := filepath.Join(t.TempDir(), "store")
+	s := open(t, faultfs.Disk{}, root)
+	if err := errors.Join(s.PutGeneration("site", generation(1)), s.PutGeneration("site", generation(2))); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(root, "certs", "site", "gen-00000002")
+	data, _ := os.ReadFile(path)
+	data[5] = version + 1
+	os.WriteFile(path, data, 0o600)
+	if _, _, err := s.Generation("site"); !errors.Is(err, ErrNewer) {
+		t.Errorf("the newest is of a later format: %v", err)
+	}
+}
+
+func TestOneRenewsAndTheOtherTakesOver(t *testing.T) {
+	root := filepath.Join(t.TempDir(), "store")
+	a, b := open(t, faultfs.Disk{}, root), open(t, faultfs.Disk{}, root)
+	if err := errors.Join(a.Lock(), a.Lock()); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Lock(); !errors.Is(err, ErrLocked) {
+		t.Errorf("a second one locks: %v", err)
+	}
+	if err := a.PutGeneration("site", generation(1)); err != nil {
+		t.Fatal(err)
+	}
+	if g, _, err := b.Generation("site"); err != nil || string(g.Key) != "key 1" {
+		t.Errorf("the second reads %q, %v", g.Key, err)
+	}
+	a.Close()
+	if err := errors.Join(b.Lock(), b.Close(), b.Close()); err != nil {
+		t.Errorf("after the first has gone: %v", err)
+	}
+}
+
+func TestNamesDoNotLeadOut(t *testing.T) {
+	s := open(t, faultfs.Disk{}, filepath.Join(t.TempDir(), "store"))
+	for _, name := range []string{"", ".", "..", "../x", "a/b", `a\b`, "a\x00"} {
+		if err := s.PutAccount(name, Account{}); err == nil {
+			t.Errorf("%q is taken", name)
+		}
+	}
+	if _, _, err := s.Generation("site"); !errors.Is(err, ErrNone) {
+		t.Errorf("an empty store: %v", err)
+	}
+}
+
+func TestOldOnesAreTakenAway(t *testing.T) {
+	s := open(t, faultfs.Disk{}, filepath.Join(t.TempDir(), "store"))
+	for n := range 20 {
+		if err := s.PutGeneration("site", generation(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if entries, _ := os.ReadDir(filepath.Join(s.root, "certs", "site")); len(entries) != keepMost {
+		t.Errorf("%d files, want %d", len(entries), keepMost)
+	}
+	if _, n, err := s.Generation("site"); n != 20 || err != nil {
+		t.Errorf("generation %d, %v", n, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	whole, err := encode(1, generation(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var g Generation
+		if err := decode(1, data, &g); err != nil && !errors.Is(err, ErrTorn) && !errors.Is(err, ErrNewer) {
+			t.Errorf("an error of another kind: %v", err)
+		}
+	})
+}
