--- a/internal/standin/authority/authority.go
+++ b/internal/standin/authority/authority.go
@@ -224,6 +224,16 @@
 // Roots are what a client needs to trust, for the connection and for what is issued.
 func (a *Authority) Roots() *x509.CertPool { return a.roots }
 
+// Certificates are the roots that what is issued leads to, the alternate chain's last.
+func (a *Authority) Certificates() []*x509.Certificate { return []*x509.Certificate{a.root, a.other} }
+
+// OtherRoots are what a client needs that trusts the alternate chain alone.
+func (a *Authority) OtherRoots() *x509.CertPool {
+	p := x509.NewCertPool()
+	p.AddCert(a.other)
+	return p
+}
+
 // Close ends it.
 func (a *Authority) Close() error { return a.http.Close() }
 
--- a/internal/state/keystore/keystore.go
+++ b/internal/state/keystore/keystore.go
@@ -64,6 +64,15 @@
 	History   []Attempt `cbor:"7,keyasint"` // orders of the last week, for the budget
 	Names     []string  `cbor:"8,keyasint"`
 	Events    []Event   `cbor:"9,keyasint"` // the last ones, for the operators
+	Answers   []Answer  `cbor:"10,keyasint,omitempty"`
+}
+
+// Answer is the answer to a challenge that the authority may ask for at any time until the order has ended.
+type Answer struct {
+	Type  string `cbor:"1,keyasint"`
+	Name  string `cbor:"2,keyasint"`
+	Token string `cbor:"3,keyasint"`
+	Value string `cbor:"4,keyasint"` // the key authorization
 }
 
 // Attempt is one order that was begun.
