--- a/internal/front/ends.go
+++ b/internal/front/ends.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
 	"cairnlane/internal/decide/conns"
@@ -42,31 +43,43 @@
 	return c.ending.Want(c.now(), why, v)
 }
 
-// seen fills in what stands outside of the session, in the order that conns.View asks for.
+// seen fills in what stands outside of the session.
 func (c *conn) seen() (v conns.View) {
-	fd := c.fd()
-	// An error leaves the figure at 1: what cannot be looked at is not closed as quiet.
-	if v.Kernel, v.Unacked = 1, 1; fd < 0 {
-		return v
-	}
-	if n, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
-		v.Kernel = n
-	}
-	v.Reader = c.nc.Reader().Len()
+	v.Kernel, v.Reader = c.line.input()
 	v.Unsent = !c.out.Empty()
-	if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
-		v.Unacked = n
-	}
+	v.Unacked = c.line.unacked()
 	return v
 }
 
-func (c *conn) fd() int {
-	if f, ok := c.nc.(interface{ Fd() int }); ok {
+// polledLine is a socket that netpoll reads.
+type polledLine struct{ netpoll.Connection }
+
+func (l polledLine) input() (kernel, reader int) {
+	return queued(l.fd(), unix.SIOCINQ), l.Reader().Len()
+}
+
+func (l polledLine) unacked() int { return queued(l.fd(), unix.SIOCOUTQ) }
+
+func (polledLine) polled() bool { return true }
+
+func (l polledLine) halfClose() error { return syscall.Shutdown(l.fd(), syscall.SHUT_WR) }
+
+func (l polledLine) fd() int {
+	if f, ok := l.Connection.(interface{ Fd() int }); ok {
 		return f.Fd()
 	}
 	return -1
 }
 
+// queued asks the kernel for a queue's length. An error counts as 1: what cannot be looked at is not closed as quiet.
+func queued(fd int, what uint) int {
+	n, err := unix.IoctlGetInt(fd, what)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
 // want asks for an end and carries out what is decided. No lock is held by the caller.
 func (s *Server) want(c *conn, why conns.Reason) { s.act(c, c.look(why)) }
 
@@ -76,7 +89,7 @@
 	case conns.HalfClose:
 		c.mu.Lock()
 		if !c.closed {
-			if err := syscall.Shutdown(c.fd(), syscall.SHUT_WR); err != nil {
+			if err := c.line.halfClose(); err != nil {
 				log.Print("end our side of a router connection: ", err)
 			}
 		}
@@ -88,7 +101,7 @@
 		c.mu.Unlock()
 		if first {
 			s.count.ended[c.ending.Reason()].Inc() // which stays as it is now
-			c.nc.Close()
+			c.line.Close()
 		}
 	}
 }
@@ -102,27 +115,56 @@
 }
 
 // makeRoom tells whether one more connection may be held. When the table is full, one that is missed least is
-// closed, which guards against clients that hold connections for nothing and would shut the routers out. It is
-// called by the poller, whose hands are empty then.
-func (s *Server) makeRoom() bool {
+// closed, which guards against clients that hold connections for nothing and would shut the routers out. Called by the
+// poller, whose hands are empty then, it needs no fence.
+func (s *Server) makeRoom(poller bool) bool {
+	for range victimsMost {
+		s.mu.Lock()
+		victim, room := s.victim(poller)
+		s.mu.Unlock()
+		if victim == nil {
+			return room
+		}
+		if room {
+			s.act(victim, conns.Close)
+			return true
+		}
+		if !s.fence.pass(fenceTime) {
+			return false
+		}
+		if s.look(victim) {
+			return true
+		}
+	}
+	return false
+}
+
+// look closes a victim if it is still quiet.
+func (s *Server) look(victim *conn) bool {
+	if victim.look(conns.Evicted) != conns.Close {
+		return false
+	}
 	s.mu.Lock()
-	victim, room := s.victim()
+	s.table.Remove(&victim.file)
 	s.mu.Unlock()
-	if victim != nil {
-		s.act(victim, conns.Close)
-	}
-	return room
+	s.act(victim, conns.Close)
+	return true
 }
 
-// victim finds the connection that makes room for a newcomer, if there has to be one. s.mu is held.
-func (s *Server) victim() (victim *conn, room bool) {
+// victim finds the connection that makes room for a newcomer, if there has to be one. Without room it is one that has
+// to be looked at once more, behind a fence. s.mu is held.
+func (s *Server) victim(poller bool) (victim *conn, room bool) {
 	if !s.table.Full() {
 		return nil, true
 	}
 	tried := 0
 	for f := range s.table.Victims(s.now(), func(f *conns.Conn) conns.Use { return f.Owner.(*conn).use() }) {
 		c := f.Owner.(*conn)
-		if c.look(conns.Evicted) == conns.Close {
+		if c.line.polled() && !poller {
+			if c.mayGo() {
+				return c, false
+			}
+		} else if c.look(conns.Evicted) == conns.Close {
 			s.table.Remove(f)
 			return c, true
 		}
@@ -133,6 +175,20 @@
 	return nil, false
 }
 
+// mayGo is the look before a fence: whether it is worth one.
+func (c *conn) mayGo() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if c.ending.State() != conns.Serving {
+		return true
+	}
+	kernel, _ := c.line.input()
+	return kernel == 0
+}
+
 // Sweep ends connections that are idle, overdue or on their way out, until ctx ends.
 func (s *Server) Sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepPeriod)
@@ -154,7 +210,7 @@
 	s.mu.Lock()
 	closeIdle := s.closeIdle
 	all := make([]*conn, 0, len(s.conns))
-	for _, c := range s.conns {
+	for c := range s.conns {
 		all = append(all, c)
 	}
 	s.mu.Unlock()
@@ -171,10 +227,7 @@
 		case why == conns.None:
 			continue
 		}
-		c.mu.Lock()
-		quiet := !c.closed && (c.ending.State() != conns.Serving || c.seen().Kernel == 0)
-		c.mu.Unlock()
-		if quiet {
+		if c.mayGo() {
 			due = append(due, end{c, why})
 		}
 	}
@@ -205,7 +258,7 @@
 	}
 	s.mu.Lock()
 	all := make([]*conn, 0, len(s.conns))
-	for _, c := range s.conns {
+	for c := range s.conns {
 		all = append(all, c)
 	}
 	s.mu.Unlock()
--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -159,9 +159,24 @@
 	if _, ok := receive(t, c); !ok {
 		t.Fatal("no answer to a health check")
 	}
+	st.settle()
 	return c
 }
 
+// settle waits until all that was sent has been acknowledged: a kernel may take 40 ms for that.
+func (s *Server) settle() {
+	for open := true; open; {
+		open = false
+		s.mu.Lock()
+		for c := range s.conns {
+			c.mu.Lock()
+			open = open || !c.closed && (!c.out.Empty() || c.line.unacked() > 0)
+			c.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+}
+
 // stall shuts the gate and brings the poller to it.
 func (st *stage) stall(t *testing.T) {
 	t.Helper()
@@ -275,6 +290,7 @@
 	if h, ok := receive(t, c); !ok || h.Seq != 1 {
 		t.Fatalf("the answer is %+v, %v", h, ok)
 	}
+	st.settle()
 	for st.Connections() > 0 {
 		st.sweep(false)
 		if st.clock.Now() > testkit.Start+3*time.Second {
@@ -380,8 +396,8 @@
 func (st *stage) serves(p *peer) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for nc, c := range st.conns {
-		if nc.RemoteAddr().String() == p.LocalAddr().String() {
+	for c := range st.conns {
+		if c.line.(polledLine).RemoteAddr().String() == p.LocalAddr().String() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.ending.Takes()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +58,7 @@
 	backlogTime time.Duration // the longest wait for what the kernel has accepted
 
 	mu        sync.Mutex
-	conns     map[netpoll.Connection]*conn
+	conns     map[*conn]struct{}
 	table     *conns.Table
 	closeIdle time.Duration // 0 leaves idle connections to the routers
 	leaving   bool
@@ -65,12 +67,24 @@
 // conn is one router connection.
 type conn struct {
 	*session
-	nc   netpoll.Connection
+	line line
 	out  *outbox.Box
 	file conns.Conn // its place in the table
 	shut bool       // the close is being carried out; guarded by the session's lock
 }
 
+// line is what a connection stands on: a socket that netpoll reads, or TLS.
+type line interface {
+	// input tells what stands unread: in the kernel, and read but not yet handed to the session.
+	input() (kernel, reader int)
+	// unacked tells what of the output the peer's kernel has not taken.
+	unacked() int
+	// polled tells whether the poller may have input in its hands that cannot be seen.
+	polled() bool
+	halfClose() error
+	Close() error
+}
+
 // Listen opens the listener at addr. At most so many connections are accepted.
 func Listen(addr string, most int, core Core, now func() time.Duration, set *counters.Set) (*Server, error) {
 	ln, err := netpoll.CreateListener("tcp", addr)
@@ -80,7 +94,7 @@
 	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer); err != nil {
 		return nil, fmt.Errorf("listen for routers: receive buffer: %w", err)
 	}
-	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[netpoll.Connection]*conn{},
+	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[*conn]struct{}{},
 		table: conns.NewTable(conns.DefaultLimits(most)), kick: make(chan struct{}, 1), backlogTime: backlogTime, noise: rate.Sometimes{First: 3, Interval: time.Second}}
 	for r := range s.count.ended {
 		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
@@ -114,18 +128,28 @@
 // prepare sets up a connection before anything is read from it. It is called by the poller.
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
 	ctx := context.Background()
-	if !s.makeRoom() {
+	if !s.makeRoom(true) {
 		s.count.turned.Inc()
 		nc.Close() // nothing of it was read, so nothing was run
 		return ctx
 	}
+	nc.SetWriteTimeout(writeTimeout)
+	c := s.add(polledLine{nc}, nc)
+	nc.AddCloseCallback(func(netpoll.Connection) error {
+		s.remove(c) // before the descriptor is closed, as the callbacks are called last to first
+		return nil
+	})
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// add enters a connection whose output goes to sink.
+func (s *Server) add(l line, sink io.Writer) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count.accepted.Inc()
-	nc.SetWriteTimeout(writeTimeout)
-	c := &conn{nc: nc}
+	c := &conn{line: l}
 	c.file.Owner = c
-	c.out = outbox.New(nc, outputBound, func(error) { s.want(c, conns.Broken) })
+	c.out = outbox.New(sink, outputBound, func(error) { s.want(c, conns.Broken) })
 	c.session = &session{core: s.core, now: s.now, began: s.now(), used: s.now(), send: func(encode func([]byte) []byte) {
 		err := c.out.Put(func(dst []byte) []byte {
 			before := len(dst)
@@ -137,22 +161,23 @@
 			s.hasten() // the sender may hold locks that a close takes
 		}
 	}}
-	s.conns[nc] = c
+	s.conns[c] = struct{}{}
 	s.table.Add(&c.file, c.used)
-	nc.AddCloseCallback(func(nc netpoll.Connection) error {
-		s.mu.Lock()
-		delete(s.conns, nc)
-		s.table.Remove(&c.file)
-		s.mu.Unlock()
-		s.count.closed.Inc()
-		c.end() // before the descriptor is closed, as the callbacks are called last to first
-		c.out.Close()
-		return nil
-	})
 	if s.leaving {
 		c.part()
 	}
-	return context.WithValue(ctx, connKey{}, c)
+	return c
+}
+
+// remove takes out a connection whose descriptor is about to be closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.table.Remove(&c.file)
+	s.mu.Unlock()
+	s.count.closed.Inc()
+	c.end()
+	c.out.Close()
 }
 
 // read is netpoll's callback: something has come in on a connection.
@@ -167,18 +192,25 @@
 	}
 	p, err := r.Next(min(r.Len(), chunk)) // called again while there is more
 	if err == nil {
-		s.count.bytesIn.Add(len(p))
-		err = c.feed(p)
+		err = s.feed(c, p, nc.RemoteAddr())
+	} else {
+		c.exit()
 	}
+	return errors.Join(err, r.Release())
+}
+
+// feed hands input to a session that was entered, and ends the connection if it cannot be read.
+func (s *Server) feed(c *conn, p []byte, from net.Addr) error {
+	s.count.bytesIn.Add(len(p))
+	err := c.feed(p)
 	c.exit()
 	if err != nil { // garbage ends this connection only
 		s.noise.Do(func() {
-			log.Printf("router connection %v: %v (%d ended so by now)", nc.RemoteAddr(), err, s.count.ended[conns.Garbage].Load())
+			log.Printf("router connection %v: %v (%d ended so by now)", from, err, s.count.ended[conns.Garbage].Load())
 		})
 		s.want(c, conns.Garbage)
-		return errors.Join(err, r.Release())
 	}
-	return r.Release()
+	return err
 }
 
 // discard throws away what came in on a connection that ends.
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -114,6 +114,7 @@
 	c := dial(t, s)
 	c.Write(message("isWell", 1, nil, ""))
 	receive(t, c)
+	s.settle()
 	clock.Advance(time.Minute)
 	s.sweep(false)
 	if n := s.Connections(); n != 1 {
