Run the appliance: HCL configuration, TLS with its certificates, control socket, cairnctl

Need: the parts for certificates stood alone.

Change: internal/config reads HCL and tells all that is wrong at once, each with file, line and what would be right. internal/appliance wires keystore, keepers, TLS front and control socket; internal/daemon holds what main had, so both programs run the same replica. internal/control: HTTP with JSON on a unix socket of mode 0600. Logs through zerolog, the platform's too. The appliance is a program of its own, cairnsite, that cairnlane becomes when it has arguments.

A whole box in a test: first certificate by tls-alpn-01, a renewal and a revocation with a connection open across them, SIGHUP, drain, exit 0. 19 kinds of wrong configuration, each with its line.

--- /dev/null
+++ b/cmd/cairnctl/main.go
@@ -0,0 +1,183 @@
+// Command cairnctl is the operators' tool: it asks a running daemon, and starts stand-ins for trials.
+package main
+
+import (
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cairnlane/internal/control"
+	"cairnlane/internal/standin/authority"
+)
+
+type options struct {
+	Socket string `default:"state/control.sock" env:"CAIRNLANE_CONTROL" help:"The daemon's control socket."`
+	Output string `default:"text" enum:"text,json" help:"text or json."`
+
+	Status struct{} `cmd:"" help:"How the daemon stands."`
+	Drain  struct{} `cmd:"" help:"Have the daemon finish its work and end."`
+	Cert   struct {
+		Status  struct{} `cmd:"" help:"The certificates, their lifetimes and alarms."`
+		History named    `cmd:"" help:"What has happened to a certificate."`
+		Renew   named    `cmd:"" help:"Renew a certificate now, within the budget of orders."`
+		Revoke  struct {
+			named
+			Reason int `default:"0" help:"RFC 5280: 0 unspecified, 1 key compromise, 4 superseded, 5 cessation."`
+		} `cmd:"" help:"Revoke a certificate at its authority, and renew it."`
+	} `cmd:"" help:"Certificates."`
+	Standin struct {
+		Authority struct {
+			Lifetime time.Duration `default:"2160h" help:"Of what it issues."`
+			HTTPPort int           `default:"80" help:"Where http-01 is validated, on loopback."`
+			TLSPort  int           `default:"443" help:"Where tls-alpn-01 is validated, on loopback."`
+			Root     string        `default:"standin-root.pem" help:"File to write the root to."`
+		} `cmd:"" help:"Run a stand-in for an ACME authority on loopback, for trials."`
+	} `cmd:"" help:"Stand-ins for what is not ours, for trials."`
+	Completion struct {
+		Shell string `arg:"" enum:"bash" help:"bash."`
+	} `cmd:"" help:"Print shell completion."`
+}
+
+type named struct {
+	Name string `arg:"" help:"The certificate's name in the configuration."`
+}
+
+func main() {
+	var o options
+	parser := kong.Must(&o, kong.Name("cairnctl"), kong.UsageOnError(), kong.Description("The operators' tool of cairnlane."))
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := o.run(ctx.Command(), parser.Model, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "cairnctl:", err)
+		os.Exit(1)
+	}
+}
+
+func (o *options) run(command string, model *kong.Application, w io.Writer) error {
+	c := control.NewClient(o.Socket)
+	switch command {
+	case "status":
+		s, err := c.Status()
+		return o.show(w, s, err, func(t io.Writer) {
+			fmt.Fprintf(t, "name\t%s\nlisten\t%s\ntls\t%s\nsince\t%s\ndraining\t%v\n", s.Name, s.Listen, s.TLS, s.Since.Format(time.RFC3339), s.Draining)
+			names := make([]string, 0, len(s.Counters))
+			for n := range s.Counters {
+				names = append(names, n)
+			}
+			slices.Sort(names)
+			for _, n := range names {
+				fmt.Fprintf(t, "%s\t%d\n", n, s.Counters[n])
+			}
+		})
+	case "drain":
+		return c.Drain()
+	case "cert status":
+		l, err := c.Certificates()
+		return o.show(w, l, err, func(t io.Writer) {
+			fmt.Fprintln(t, "NAME\tALARM\tPHASE\tNOT AFTER\tDUE\tGENERATION\tFAILURES\tLAST")
+			for _, s := range l {
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", s.Name, s.Alarm, s.Phase, day(s.NotAfter), day(s.Due), s.Generation, s.Failures, s.Last)
+			}
+		})
+	case "cert history <name>":
+		l, err := c.History(o.Cert.History.Name)
+		return o.show(w, l, err, func(t io.Writer) {
+			for _, e := range l {
+				fmt.Fprintf(t, "%s\t%s\t%s\n", e.At.Format(time.RFC3339), e.What, e.Text)
+			}
+		})
+	case "cert renew <name>":
+		return c.Renew(o.Cert.Renew.Name)
+	case "cert revoke <name>":
+		return c.Revoke(o.Cert.Revoke.Name, o.Cert.Revoke.Reason)
+	case "standin authority":
+		return o.authority(w)
+	default:
+		return completion(w, model)
+	}
+}
+
+func day(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.Format(time.RFC3339)
+}
+
+// show prints a value as text or JSON.
+func (o *options) show(w io.Writer, v any, err error, text func(io.Writer)) error {
+	if err != nil {
+		return err
+	}
+	if o.Output == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	text(t)
+	return t.Flush()
+}
+
+// authority runs the stand-in until it is interrupted.
+func (o *options) authority(w io.Writer) error {
+	a := o.Standin.Authority
+	s, err := authority.Start(authority.Config{Name: "stand-in", Now: time.Now, Lifetime: a.Lifetime, Resolve: func(_ string, port int) string {
+		if port == 80 {
+			port = a.HTTPPort
+		} else {
+			port = a.TLSPort
+		}
+		return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	}})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	root := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificates()[0].Raw})
+	if err := os.WriteFile(a.Root, root, 0o644); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "directory = %q\nroot      = %q\n", s.URL(), a.Root)
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGINT, syscall.SIGTERM)
+	<-end
+	return nil
+}
+
+// completion prints a completion for bash from the commands that there are.
+func completion(w io.Writer, model *kong.Application) error {
+	fmt.Fprintln(w, "_cairnctl() {\n  local at=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$at\" in")
+	var walk func(n *kong.Node, at string)
+	walk = func(n *kong.Node, at string) {
+		var words string
+		for _, c := range n.Children {
+			words += c.Name + " "
+		}
+		for _, f := range n.Flags {
+			words += "--" + f.Name + " "
+		}
+		fmt.Fprintf(w, "    %q) COMPREPLY=($(compgen -W %q -- \"${COMP_WORDS[COMP_CWORD]}\"));;\n", at, words)
+		for _, c := range n.Children {
+			next := c.Name
+			if at != "" {
+				next = at + " " + c.Name
+			}
+			walk(c, next)
+		}
+	}
+	walk(model.Node, "")
+	_, err := fmt.Fprintln(w, "  esac\n}\ncomplete -F _cairnctl cairnctl")
+	return err
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// site writes a configuration beside the example's settings.
+func site(t *testing.T, text string) string {
+	t.Helper()
+	dir := t.TempDir()
+	example, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string]string{"site.json": string(example), "root.pem": "x", "eab.key": "AAAAAAAAAAAAAAAAAAAAAAAAAAAA", "appliance.hcl": text} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(data), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return filepath.Join(dir, "appliance.hcl")
+}
+
+const good = `
+replica = "site.json"
+state   = "state"
+
+log {
+  level = "debug"
+}
+
+tls {
+  listen      = "127.0.0.1:7443"
+  self_signed = true
+  contact     = ["ops@site.example"]
+
+  authority "main" {
+    directory = "https://ca.example/directory"
+    root      = "root.pem"
+    account_binding {
+      key_id   = "k1"
+      key_file = "eab.key"
+    }
+  }
+  authority "second" {
+    directory = "https://other.example/directory"
+  }
+  certificate "site" {
+    hosts = ["site.example", "www.site.example"]
+  }
+}
+`
+
+func TestAWholeConfiguration(t *testing.T) {
+	path := site(t, good)
+	a, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Dir(path)
+	if a.State != filepath.Join(dir, "state") || a.Control != filepath.Join(dir, "state", "control.sock") || a.Site.Name != "n0" ||
+		a.TLS.Challenge != "tls-alpn-01" || a.TLS.Authorities[0].EAB.Key == "" || len(a.TLS.Certificates[0].Hosts) != 2 || a.TLS.Authorities[1].Name != "second" {
+		t.Errorf("%+v %+v", a, a.TLS)
+	}
+}
+
+// TestAllThatIsWrongIsToldAtOnce, each with its line and what would be right.
+func TestAllThatIsWrongIsToldAtOnce(t *testing.T) {
+	for name, k := range map[string]struct {
+		from, to string
+		says     []string
+	}{
+		"syntax":          {`replica = "site.json"`, `replica = `, []string{"appliance.hcl:2: Invalid expression"}},
+		"unknown word":    {`self_signed = true`, `selfsigned = true`, []string{`:11: Unsupported argument`, `Did you mean "self_signed"?`}},
+		"missing":         {`state   = "state"`, ``, []string{`Missing required argument`, `"state"`}},
+		"wrong type":      {`self_signed = true`, `self_signed = "perhaps"`, []string{":11: ", "bool"}},
+		"level":           {`"debug"`, `"loud"`, []string{`:6: level is "loud", it must be one of: debug info warn error`}},
+		"address":         {`"127.0.0.1:7443"`, `"nowhere"`, []string{`:10: listen is "nowhere", it must be host:port`}},
+		"no TLS there":    {`https://ca.example`, `http://ca.example`, []string{`:15: directory is "http://ca.example/directory", it must be an https URL`}},
+		"host":            {`"www.site.example"`, `"no name"`, []string{`:26: hosts is "no name", it must be a full host name`}},
+		"contact":         {`"ops@site.example"`, `"ops"`, []string{`:12: contact is "ops", it must be an address`}},
+		"twice":           {`authority "second"`, `authority "main"`, []string{`it must not name one twice`}},
+		"label":           {`certificate "site"`, `certificate "../x"`, []string{`:25: name is "../x", it must be a short name`}},
+		"root":            {`"root.pem"`, `"none.pem"`, []string{`:16: `, "none.pem cannot be read"}},
+		"binding":         {`"eab.key"`, `"none.key"`, []string{`:19: `, "none.key"}},
+		"no certificates": {`certificate "site" {`, `certificates "site" {`, []string{`Unsupported block type`, `Did you mean "certificate"?`}},
+		"http-01":         {`self_signed = true`, `challenge = "http-01"`, []string{`:11: http-01 needs http_listen`}},
+		"budget":          {`self_signed = true`, "orders_per_hour = 9\n orders_per_week = 3", []string{`orders_per_week is 3, it must be 9 at least`}},
+		"settings":        {`"site.json"`, `"none.json"`, []string{`:2: the site's settings`, "none.json"}},
+		"control":         {`state   = "state"`, "state = \"state\"\ncontrol = \"" + strings.Repeat("x", 120) + `"`, []string{"the system takes 100"}},
+		"several": {"listen      = \"127.0.0.1:7443\"\n  self_signed = true", "listen = \"x\"\n self_signed = true\n challenge = \"dns-01\"",
+			[]string{`:10: listen is "x"`, `:12: challenge is "dns-01", it must be one of: http-01 tls-alpn-01`}},
+	} {
+		text := strings.Replace(good, k.from, k.to, 1)
+		if text == good {
+			t.Fatalf("%s changes nothing", name)
+		}
+		_, err := Load(site(t, text))
+		for _, want := range k.says {
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%s: %v\nwant %s", name, err, want)
+			}
+		}
+	}
+}
+
+func TestALooseBindingKeyIsRefused(t *testing.T) {
+	path := site(t, good)
+	os.Chmod(filepath.Join(filepath.Dir(path), "eab.key"), 0o644)
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "chmod 600") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestTheExampleUnderDeployIsWhole(t *testing.T) {
+	if _, err := Load("../../deploy/appliance.hcl"); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		if a, err := parse("x/appliance.hcl", src); err == nil && (a.Replica == "" || a.Site == nil) {
+			t.Error("taken without the site's settings")
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,185 @@
+// Package control is the way to a running daemon: HTTP with JSON over a unix socket of mode 0600, which only the user
+// that runs the daemon may open. It is apart from the serving path: whatever is asked, no request waits for it.
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"cairnlane/internal/certs"
+	"cairnlane/internal/state/keystore"
+)
+
+// Status is how a daemon stands.
+type Status struct {
+	Name     string           `json:"name"`
+	Listen   string           `json:"listen"`
+	TLS      string           `json:"tls,omitempty"`
+	Since    time.Time        `json:"since"`
+	Draining bool             `json:"draining"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+// Daemon is what the socket shows and does.
+type Daemon interface {
+	Status() Status
+	Drain()
+	Certificates() []certs.Status
+	History(name string) ([]keystore.Event, error)
+	Renew(name string) error
+	Revoke(ctx context.Context, name string, reason int) error
+}
+
+// Server listens on a socket.
+type Server struct {
+	path string
+	http *http.Server
+}
+
+// callTime bounds a call; a revocation asks an authority.
+const callTime = time.Minute
+
+// Listen opens the socket. One that a dead daemon has left is taken over; one that answers is not.
+func Listen(path string, d Daemon) (*Server, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("control: another daemon answers at %s", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	// The socket is made under a name that nobody knows and gets its own once its mode is set.
+	hidden := path + "." + strconv.Itoa(os.Getpid())
+	ln, err := net.Listen("unix", hidden)
+	if err != nil {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	ln.(*net.UnixListener).SetUnlinkOnClose(false)
+	if err := errors.Join(os.Chmod(hidden, 0o600), os.Rename(hidden, path)); err != nil {
+		ln.Close()
+		os.Remove(hidden)
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	s := &Server{path: path, http: &http.Server{Handler: handler(d), ReadTimeout: 5 * time.Second, WriteTimeout: callTime, MaxHeaderBytes: 8 << 10}}
+	go s.http.Serve(ln)
+	return s, nil
+}
+
+// Close ends it.
+func (s *Server) Close() error {
+	return errors.Join(s.http.Close(), os.Remove(s.path))
+}
+
+func handler(d Daemon) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Status(), nil) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { d.Drain(); reply(w, struct{}{}, nil) })
+	mux.HandleFunc("GET /certificates", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Certificates(), nil) })
+	mux.HandleFunc("GET /certificates/{name}/history", func(w http.ResponseWriter, r *http.Request) {
+		list, err := d.History(r.PathValue("name"))
+		reply(w, list, err)
+	})
+	mux.HandleFunc("POST /certificates/{name}/renew", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, d.Renew(r.PathValue("name")))
+	})
+	mux.HandleFunc("POST /certificates/{name}/revoke", func(w http.ResponseWriter, r *http.Request) {
+		reason, err := strconv.Atoi(r.FormValue("reason"))
+		if err != nil || reason < 0 || reason > 10 || reason == 7 {
+			reply(w, nil, fmt.Errorf("reason %q; RFC 5280 has 0 to 6 and 8 to 10", r.FormValue("reason")))
+			return
+		}
+		reply(w, struct{}{}, d.Revoke(r.Context(), r.PathValue("name"), reason))
+	})
+	return mux
+}
+
+type failure struct {
+	Error string `json:"error"`
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		v = failure{err.Error()}
+	}
+	json.NewEncoder(w).Encode(v)
+}
+
+// Client asks a daemon.
+type Client struct {
+	path string
+	http http.Client
+}
+
+// NewClient returns a client for the daemon at a socket.
+func NewClient(path string) *Client {
+	return &Client{path: path, http: http.Client{Timeout: callTime, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "unix", path)
+		}}}}
+}
+
+// answerMost bounds what is read of an answer.
+const answerMost = 4 << 20
+
+func (c *Client) call(method, path string, form url.Values, v any) error {
+	req, err := http.NewRequest(method, "http://daemon"+path, bytes.NewReader([]byte(form.Encode())))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("no daemon answers at %s (is it running, and is this the user that runs it?): %w", c.path, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var f failure
+		if json.Unmarshal(raw, &f) == nil && f.Error != "" {
+			return errors.New(f.Error)
+		}
+		return fmt.Errorf("the daemon answers %s", resp.Status)
+	}
+	return json.Unmarshal(raw, v)
+}
+
+// Status asks how the daemon stands.
+func (c *Client) Status() (s Status, err error) { return s, c.call("GET", "/status", nil, &s) }
+
+// Drain has it leave.
+func (c *Client) Drain() error { return c.call("POST", "/drain", nil, &struct{}{}) }
+
+// Certificates lists the certificates.
+func (c *Client) Certificates() (l []certs.Status, err error) {
+	return l, c.call("GET", "/certificates", nil, &l)
+}
+
+// History lists what has happened to one.
+func (c *Client) History(name string) (l []keystore.Event, err error) {
+	return l, c.call("GET", "/certificates/"+url.PathEscape(name)+"/history", nil, &l)
+}
+
+// Renew has one renewed.
+func (c *Client) Renew(name string) error {
+	return c.call("POST", "/certificates/"+url.PathEscape(name)+"/renew", nil, &struct{}{})
+}
+
+// Revoke has one revoked and renewed.
+func (c *Client) Revoke(name string, reason int) error {
+	return c.call("POST", "/certificates/"+url.PathEscape(name)+"/revoke", url.Values{"reason": {strconv.Itoa(reason)}}, &struct{}{})
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -53,3 +53,14 @@
 	sort.Strings(words)
 	return strings.Join(words, " ")
 }
+
+// Values gives all counters by name.
+func (s *Set) Values() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[string]int64, len(s.named))
+	for name, c := range s.named {
+		m[name] = c.Load()
+	}
+	return m
+}
