Play a simulated year of certificates with outages, kills, drains and full disks

Need: that no handshake fails and no request is ended twice because of certificates has to be shown over the time in which they are renewed, under what goes wrong in a year, and beside the plain way.

Change: internal/certs/year and `make year`: three certificates of 90, 45 and 6 days, each with two stand-in authorities that follow a drawn script of eleven kinds of faults, the real keepers, store and TLS front on loopback, a clock that goes by the hour. Each hour a request is open on a lasting connection while keepers work, and a full handshake is made with each name. The process is killed in the middle of changes of its store, drained and started anew with requests open, its disk fills up, its clock steps an hour back and a month ahead.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test lint run fuzz
+.PHONY: build test lint run fuzz year figures
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -27,3 +27,16 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzFeed -fuzztime 20s ./internal/front
 	go test -run '^$$' -fuzz FuzzMessage -fuzztime 20s ./internal/thrift
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/state/keystore
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/config
+	go test -run '^$$' -fuzz FuzzChain -fuzztime 20s ./internal/certs
+
+# A simulated year of certificates with outages, kills, drains and full disks; under 3 minutes. SEED=n draws another one.
+SEED ?= 1
+year: build
+	bin/cairnctl trial certificates --seed $(SEED) --out logs/year
+
+# What TLS costs beside plain connections: per request, per handshake, and memory per idle connection.
+figures:
+	go test -run '^$$' -bench 'Request|Handshake|Idle' ./internal/front
+	go test -run '^$$' -bench Victim ./internal/decide/conns
--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -4,19 +4,23 @@
 import (
 	"encoding/json"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"cairnlane/internal/certs/year"
 	"cairnlane/internal/control"
 	"cairnlane/internal/standin/authority"
 )
@@ -44,6 +48,13 @@
 			Root     string        `default:"standin-root.pem" help:"File to write the root to."`
 		} `cmd:"" help:"Run a stand-in for an ACME authority on loopback, for trials."`
 	} `cmd:"" help:"Stand-ins for what is not ours, for trials."`
+	Trial struct {
+		Certificates struct {
+			Seed uint64 `default:"1" help:"Draws the faults."`
+			Days int    `default:"365" help:"How long it lasts on the box's clock."`
+			Out  string `default:"." help:"Folder for the table and the chart."`
+		} `cmd:"" help:"Play a simulated year of certificates on loopback."`
+	} `cmd:"" help:"Trials of this program, with its stand-ins."`
 	Completion struct {
 		Shell string `arg:"" enum:"bash" help:"bash."`
 	} `cmd:"" help:"Print shell completion."`
@@ -103,6 +114,8 @@
 		return c.Revoke(o.Cert.Revoke.Name, o.Cert.Revoke.Reason)
 	case "standin authority":
 		return o.authority(w)
+	case "trial certificates":
+		return o.year(w)
 	default:
 		return completion(w, model)
 	}
@@ -156,6 +169,31 @@
 	return nil
 }
 
+// year plays a year of certificates; an error says which bounds were missed.
+func (o *options) year(w io.Writer) error {
+	t := o.Trial.Certificates
+	dir, err := os.MkdirTemp("", "year")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := year.Run(year.Config{Seed: t.Seed, Days: t.Days, Dir: dir, Progress: w})
+	if err != nil {
+		return err
+	}
+	csv, svg := filepath.Join(t.Out, "year.csv"), filepath.Join(t.Out, "year.svg")
+	if err := errors.Join(os.MkdirAll(t.Out, 0o755), f.WriteCSV(csv), f.WriteSVG(svg)); err != nil {
+		return err
+	}
+	f.Table(w)
+	fmt.Fprintln(w, "written:", csv, svg)
+	fmt.Fprintln(w, f)
+	if missed := f.Missed(); len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
 // completion prints a completion for bash from the commands that there are.
 func completion(w io.Writer, model *kong.Application) error {
 	fmt.Fprintln(w, "_cairnctl() {\n  local at=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$at\" in")
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"crypto"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"net"
@@ -474,3 +476,22 @@
 		}
 	}
 }
+
+// FuzzChain feeds what an authority may answer to what reads it.
+func FuzzChain(f *testing.F) {
+	g, err := selfSigned([]string{"site.example"}, time.Unix(0, int64(testkit.Start)), 90*day)
+	if err != nil {
+		f.Fatal(err)
+	}
+	cert, err := pair(g)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: g.Chain[0]}))
+	f.Fuzz(func(t *testing.T, chain []byte) {
+		der, err := check(chain, []string{"site.example"}, cert.PrivateKey.(crypto.Signer), time.Unix(0, int64(testkit.Start)), x509.NewCertPool())
+		if err == nil {
+			t.Errorf("%d certificates that lead to no root are taken", len(der))
+		}
+	})
+}
--- a/internal/decide/renewal/renewal.go
+++ b/internal/decide/renewal/renewal.go
@@ -346,9 +346,14 @@
 	return at
 }
 
-// presses tells whether time presses so that another authority is better than another try.
+// presses tells whether time presses so that another authority is better than another try: with a sixth of the
+// lifetime left, or a third of a short one, which is then as long as two authorities may be left out one after the other.
 func (p *Plan) presses(now time.Time) bool {
-	return !p.have || p.held.Stopgap || p.left(now) < p.held.Lifetime()/6
+	part := p.held.Lifetime() / 6
+	if p.held.Lifetime() <= shortLife {
+		part *= 2
+	}
+	return !p.have || p.held.Stopgap || p.left(now) < part
 }
 
 // Alarm tells how things stand.
--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -154,3 +154,10 @@
 	}
 	return f.Disk.SyncDir(path)
 }
+
+// Dead tells whether the process has been taken to have died.
+func (f *Faulty) Dead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kill >= 0 && f.n > f.kill
+}
