--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 
 	"cairnlane/internal/daemon"
-	"cairnlane/internal/logs"
+	"cairnlane/internal/logging"
 	"cairnlane/internal/settings"
 )
 
@@ -20,7 +20,7 @@
 	if len(os.Args) > 1 {
 		fail(appliance(os.Args))
 	}
-	logs.Start(os.Stderr, logs.Config{})
+	logging.Start(os.Stderr, logging.Config{})
 	path := os.Getenv("RELAY_CONFIG")
 	cfg, err := settings.Load(path)
 	if err == nil {
--- a/cmd/cairnsite/main.go
+++ b/cmd/cairnsite/main.go
@@ -10,7 +10,7 @@
 	"cairnlane/internal/appliance"
 	"cairnlane/internal/config"
 	"cairnlane/internal/daemon"
-	"cairnlane/internal/logs"
+	"cairnlane/internal/logging"
 )
 
 var cli struct {
@@ -45,11 +45,11 @@
 	if err != nil {
 		return err
 	}
-	l := logs.Config{}
+	l := logging.Config{}
 	if cfg.Log != nil {
-		l = logs.Config{Level: cfg.Log.Level, Format: cfg.Log.Format}
+		l = logging.Config{Level: cfg.Log.Level, Format: cfg.Log.Format}
 	}
-	box, err := appliance.New(cfg, logs.Start(os.Stderr, l))
+	box, err := appliance.New(cfg, logging.Start(os.Stderr, l))
 	if err != nil {
 		return err
 	}
--- a/internal/appliance/appliance_test.go
+++ b/internal/appliance/appliance_test.go
@@ -18,7 +18,7 @@
 	"cairnlane/internal/config"
 	"cairnlane/internal/control"
 	"cairnlane/internal/daemon"
-	"cairnlane/internal/logs"
+	"cairnlane/internal/logging"
 	"cairnlane/internal/standin/authority"
 	"cairnlane/internal/thrift"
 )
@@ -32,7 +32,7 @@
 	cfg, err := config.Load(path)
 	if err == nil {
 		var box *Box
-		if box, err = New(cfg, logs.Start(os.Stderr, logs.Config{})); err == nil {
+		if box, err = New(cfg, logging.Start(os.Stderr, logging.Config{})); err == nil {
 			err = daemon.Run(cfg.Replica, cfg.Site, box, box.Started)
 		}
 	}
