--- /dev/null
+++ b/cmd/cairnctl/main_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cairnlane/internal/certs"
+	"cairnlane/internal/control"
+	"cairnlane/internal/state/keystore"
+)
+
+// box is a daemon that answers from store and notes what it is asked to do.
+type box struct{ done []string }
+
+func (b *box) Status() control.Status {
+	return control.Status{Name: "box1", Listen: "127.0.0.1:7001", Counters: map[string]int64{"answers_served": 7}}
+}
+func (b *box) Drain() { b.done = append(b.done, "drain") }
+func (b *box) Certificates() []certs.Status {
+	return []certs.Status{{Name: "site", Alarm: "warning", Phase: "waiting", NotAfter: time.Unix(1_764_576_000, 0).UTC(), Failures: 3}}
+}
+func (b *box) History(name string) ([]keystore.Event, error) {
+	if name != "site" {
+		return nil, errors.New("no certificate of that name")
+	}
+	return []keystore.Event{{At: time.Unix(1_764_576_000, 0).UTC(), What: "issued", Text: "by main"}}, nil
+}
+func (b *box) Renew(name string) error { b.done = append(b.done, "renew "+name); return nil }
+func (b *box) Revoke(_ context.Context, name string, reason int) error {
+	b.done = append(b.done, "revoke "+name+" "+strings.Repeat("i", reason))
+	return nil
+}
+
+// call runs the tool with these words against a daemon.
+func call(t *testing.T, b *box, words ...string) (string, error) {
+	t.Helper()
+	socket := filepath.Join(t.TempDir(), "c.sock")
+	if b != nil {
+		s, err := control.Listen(socket, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+	}
+	var o options
+	parser, err := kong.New(&o, kong.Name("cairnctl"), kong.Exit(func(int) {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, err := parser.Parse(append([]string{"--socket", socket}, words...))
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	err = o.run(ctx.Command(), parser.Model, &out)
+	return out.String(), err
+}
+
+func TestWhatTheToolShows(t *testing.T) {
+	for words, want := range map[string]string{
+		"status":            "answers_served",
+		"cert status":       "site  warning  waiting  2025-12-01T08:00:00Z",
+		"cert history site": "2025-12-01T08:00:00Z  issued  by main",
+		"completion bash":   "complete -F _cairnctl cairnctl",
+	} {
+		if out, err := call(t, new(box), strings.Fields(words)...); err != nil || !strings.Contains(out, want) {
+			t.Errorf("%s: %v\n%s", words, err, out)
+		}
+	}
+	out, err := call(t, new(box), "--output", "json", "cert", "status")
+	var list []certs.Status
+	if err != nil || json.Unmarshal([]byte(out), &list) != nil || len(list) != 1 || list[0].Failures != 3 {
+		t.Errorf("as JSON: %v\n%s", err, out)
+	}
+}
+
+func TestWhatTheToolDoes(t *testing.T) {
+	b := new(box)
+	for _, words := range []string{"drain", "cert renew site", "cert revoke site --reason 4"} {
+		if _, err := call(t, b, strings.Fields(words)...); err != nil {
+			t.Errorf("%s: %v", words, err)
+		}
+	}
+	if got := strings.Join(b.done, ", "); got != "drain, renew site, revoke site iiii" {
+		t.Errorf("done: %s", got)
+	}
+}
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	for words, want := range map[string]string{
+		"cert histroy site":           `did you mean "history"?`,
+		"cert history other":          "no certificate of that name",
+		"cert revoke site --reason 7": "RFC 5280",
+		"cert revoke":                 "<name>",
+		"--output xml status":         "must be one of",
+	} {
+		if _, err := call(t, new(box), strings.Fields(words)...); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", words, err, want)
+		}
+	}
+	if _, err := call(t, nil, "status"); err == nil || !strings.Contains(err.Error(), "is it running") {
+		t.Errorf("without a daemon: %v", err)
+	}
+}
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -6,6 +6,7 @@
 	"crypto"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/base64"
 	"encoding/pem"
 	"errors"
 	"fmt"
@@ -40,6 +41,7 @@
 	ans   *Answers
 	set   *Set
 	tls   net.Listener
+	plain string // where http-01 is answered
 	log   bytes.Buffer
 
 	mu    sync.Mutex
@@ -60,6 +62,7 @@
 		t.Fatal(err)
 	}
 	go http.Serve(plain, w.ans)
+	w.plain = plain.Addr().String()
 	go func() {
 		for {
 			c, err := w.tls.Accept()
@@ -495,3 +498,44 @@
 		}
 	})
 }
+
+// TestAnAccountThatNeedsABinding: with the key the authority gave it is made, with another it is not, and no key nor
+// account secret is ever logged.
+func TestAnAccountThatNeedsABinding(t *testing.T) {
+	w := newWorld(t, 90*day, HTTP01)
+	mac := []byte("thirty-two bytes of a MAC key ..")
+	bound, err := authority.Start(authority.Config{Name: "bound", Now: w.clock.Unix, Lifetime: 90 * day, EAB: map[string][]byte{"kid": mac},
+		Resolve: func(string, int) string { return w.plain }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bound.Close()
+	for _, c := range bound.Certificates() {
+		w.cfg.Roots.AddCert(c)
+	}
+	w.cfg.Authorities = []Authority{reach(bound, "bound")}
+	k, store := w.open(faultfs.Disk{})
+	k.Step(context.Background())
+	if s := k.Status(); s.Failures != 1 || !strings.Contains(s.Last, "externalAccountRequired") {
+		t.Errorf("without a binding: %+v", s)
+	}
+	store.Close()
+	w.cfg.Authorities[0].EAB = &acme.EAB{KeyID: "kid", MACKey: base64.RawURLEncoding.EncodeToString(mac)}
+	k, store = w.open(faultfs.Disk{})
+	w.until(k, "the first", w.issued(k, 1))
+	g, _, err := store.Generation("site")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := store.Account("bound")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, secret := range map[string][]byte{"the certificate's key": g.Key, "the account's key": a.Key, "the binding's key": mac} {
+		for _, form := range []string{string(secret), base64.StdEncoding.EncodeToString(secret), base64.RawURLEncoding.EncodeToString(secret), fmt.Sprintf("%x", secret), fmt.Sprint(secret)} {
+			if strings.Contains(w.log.String(), form) {
+				t.Errorf("%s is in the log", name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/timeline/timeline_test.go
@@ -0,0 +1,289 @@
+package timeline
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairnlane/internal/testkit"
+)
+
+const s = time.Second
+
+// fleet makes the records of boxes that live through a script.
+type fleet struct {
+	boxes []Box
+	rand  *rand.Rand
+}
+
+// day is what happens to a fleet, in seconds from its begin.
+type day struct {
+	boxes, seconds int
+	crash          map[int][2]int // box: dies at, back at
+	drain          map[int][3]int // box: notice, end (or -1 for a kill), back at
+	slow           map[int][2]int
+	burst          [2]int
+	refuse         [2]int
+	retry          [2]int
+	engine         map[int][2]int
+	reload         map[int]int
+	silent         map[int][2]int // box: records absent from, to
+}
+
+func within(t int, span [2]int) bool { return span[1] > 0 && t >= span[0] && t < span[1] }
+
+func (d day) play(seed uint64) []Box {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var list []Box
+	for b := range d.boxes {
+		box := Box{Name: fmt.Sprintf("n%d", b)}
+		life := &Life{Name: "a"}
+		at := func(t int) time.Duration {
+			return testkit.Start + time.Duration(t)*s + time.Duration(b)*37*time.Millisecond
+		}
+		add := func(e Event) { life.Events = append(life.Events, e) }
+		add(Event{At: at(0), Kind: Started})
+		end := func() { box.Lives = append(box.Lives, *life) }
+		down := false
+		for t := 1; t < d.seconds; t++ {
+			if c, ok := d.crash[b]; ok {
+				if t == c[0] {
+					end()
+					down = true
+				}
+				if t == c[1] {
+					life, down = &Life{Name: "b"}, false
+					add(Event{At: at(t), Kind: Started, Cold: true})
+					add(Event{At: at(t + 10), Kind: Warmed})
+				}
+			}
+			if c, ok := d.drain[b]; ok {
+				if t == c[0] {
+					add(Event{At: at(t), Kind: Drain})
+				}
+				if t == c[0]+3 {
+					if c[1] >= 0 {
+						add(Event{At: at(t), Kind: Ended})
+					}
+					end()
+					down = true
+				}
+				if t == c[2] {
+					life, down = &Life{Name: "c"}, false
+					add(Event{At: at(t), Kind: Started})
+				}
+			}
+			if down {
+				continue
+			}
+			if c, ok := d.engine[b]; ok && (t == c[0] || t == c[1]) {
+				add(Event{At: at(t), Kind: Link, OK: t == c[1]})
+			}
+			if c, ok := d.reload[b]; ok && t == c {
+				add(Event{At: at(t), Kind: Reload, OK: true})
+			}
+			e := Event{At: at(t), Kind: Second, Read: 40 + r.IntN(5), Running: 8}
+			if within(t, d.burst) {
+				e.Read = e.Read * 3 / 2
+			}
+			if within(t, d.retry) {
+				e.Retries = e.Read
+				e.Read *= 2
+			}
+			if within(t, d.refuse) {
+				e.Refused = e.Read / 3
+			}
+			e.Served = e.Read - e.Refused
+			if within(t, d.slow[b]) {
+				e.Served /= 6
+			}
+			e.InAim = e.Served
+			if !within(t, d.silent[b]) {
+				add(e)
+			} else if t == d.silent[b][1]-1 {
+				life.Gaps = append(life.Gaps, Gap{From: at(d.silent[b][0] - 1), To: at(t + 1), Absent: uint64(d.silent[b][1] - d.silent[b][0]), Why: "absent"})
+			}
+		}
+		if !down {
+			end()
+		}
+		list = append(list, box)
+	}
+	return list
+}
+
+// told lists the findings as text, with their times in seconds from the begin.
+func told(list []Finding) (out []string) {
+	for _, f := range list {
+		who := strings.Join(f.Boxes, "+")
+		if len(f.Boxes) > 3 {
+			who = fmt.Sprint(len(f.Boxes), " boxes")
+		}
+		out = append(out, fmt.Sprintf("%s %s %.0f-%.0f", f.Kind, who, (f.From-testkit.Start).Seconds(), (f.To-testkit.Start).Seconds()))
+	}
+	return out
+}
+
+func TestWhatHappenedIsFoundAndNothingElse(t *testing.T) {
+	for name, k := range map[string]struct {
+		day  day
+		want []string
+	}{
+		"calm":            {day{boxes: 8, seconds: 90}, nil},
+		"a crash":         {day{boxes: 8, seconds: 90, crash: map[int][2]int{2: {40, 55}}}, []string{"crash n2 39-39", "cold start n2 55-65"}},
+		"a drain":         {day{boxes: 8, seconds: 90, drain: map[int][3]int{1: {30, 33, 40}}}, []string{"drain n1 30-33"}},
+		"a killed drain":  {day{boxes: 8, seconds: 90, drain: map[int][3]int{1: {30, -1, 40}}}, []string{"killed in drain n1 30-32"}},
+		"a deploy":        {day{boxes: 4, seconds: 90, drain: map[int][3]int{0: {20, 23, 26}, 1: {26, 29, 32}, 2: {32, 35, 38}}}, []string{"deploy n0+n1+n2 20-35", "drain n0 20-23", "drain n1 26-29", "drain n2 32-35"}},
+		"two crash":       {day{boxes: 8, seconds: 90, crash: map[int][2]int{2: {40, 55}, 5: {42, 56}}}, []string{"crash n2 39-39", "crashes together n2+n5 39-41", "crash n5 41-41", "cold start n2 55-65", "cold start n5 56-66"}},
+		"a slow box":      {day{boxes: 8, seconds: 90, slow: map[int][2]int{3: {40, 60}}}, []string{"slow box n3 42-61"}},
+		"a burst":         {day{boxes: 8, seconds: 90, burst: [2]int{40, 47}}, []string{"burst 8 boxes 40-47"}},
+		"a slow in burst": {day{boxes: 8, seconds: 90, burst: [2]int{40, 47}, slow: map[int][2]int{3: {35, 60}}}, []string{"slow box n3 37-61", "burst 8 boxes 40-47"}},
+		"overload":        {day{boxes: 8, seconds: 90, refuse: [2]int{50, 60}}, []string{"overload 8 boxes 50-60"}},
+		"a storm":         {day{boxes: 8, seconds: 90, retry: [2]int{50, 60}}, []string{"retry storm 8 boxes 50-60"}},
+		"an engine away":  {day{boxes: 8, seconds: 90, engine: map[int][2]int{6: {30, 36}}}, []string{"engine away n6 30-36"}},
+		"a reload":        {day{boxes: 8, seconds: 90, reload: map[int]int{6: 30}}, []string{"reload n6 30-30"}},
+		"a gap":           {day{boxes: 8, seconds: 90, silent: map[int][2]int{4: {30, 40}}}, []string{"records missing n4 29-40"}},
+	} {
+		for seed := range uint64(5) {
+			got := Find(k.day.play(seed), Settings{})
+			var want []string
+			for i, w := range k.want {
+				want = append(want, w)
+				if i < len(got) && near(told(got[i : i+1])[0], w) { // to the second before or after
+					want[i] = told(got[i : i+1])[0]
+				}
+			}
+			if !slices.Equal(told(got), want) {
+				t.Errorf("%s, seed %d:\n got %q\nwant %q", name, seed, told(got), k.want)
+			}
+		}
+	}
+}
+
+// near tells whether two findings are the same but for a second at each end.
+func near(a, b string) bool {
+	var kind [2]string
+	var from, to [2]int
+	for i, text := range []string{a, b} {
+		at := strings.LastIndex(text, " ")
+		kind[i] = text[:at]
+		fmt.Sscanf(text[at+1:], "%d-%d", &from[i], &to[i])
+	}
+	return kind[0] == kind[1] && max(from[0]-from[1], from[1]-from[0], to[0]-to[1], to[1]-to[0]) <= 1
+}
+
+// TestNothingIsConcludedAcrossAGapUnsaid: the same trouble with and without records is less sure, and says why.
+func TestNothingIsConcludedAcrossAGapUnsaid(t *testing.T) {
+	whole := day{boxes: 8, seconds: 90, burst: [2]int{40, 47}, engine: map[int][2]int{4: {38, 50}}}
+	holed := whole
+	holed.silent = map[int][2]int{4: {41, 45}}
+	sure, unsure := map[Kind]Finding{}, map[Kind]Finding{}
+	for _, f := range Find(whole.play(1), Settings{}) {
+		sure[f.Kind] = f
+	}
+	for _, f := range Find(holed.play(1), Settings{}) {
+		unsure[f.Kind] = f
+	}
+	for _, k := range []Kind{Burst, NoEngine} {
+		a, b := sure[k], unsure[k]
+		if b.Confidence >= a.Confidence || !strings.Contains(strings.Join(b.Evidence, " "), "missing") {
+			t.Errorf("%s: confidence %v whole and %v with a gap, evidence %v", k, a.Confidence, b.Confidence, b.Evidence)
+		}
+	}
+	if _, ok := unsure[Missing]; !ok {
+		t.Error("the gap itself is not told")
+	}
+}
+
+func TestABoxWithoutRecordsAndACutTail(t *testing.T) {
+	boxes := day{boxes: 4, seconds: 60}.play(1)
+	boxes[1].Lives[0].Events = boxes[1].Lives[0].Events[:20]
+	boxes[1].Lives[0].Gaps = []Gap{{From: boxes[1].Lives[0].Events[19].At, Why: "cut"}}
+	got := Find(boxes, Settings{Expected: []string{"n0", "n9"}})
+	if s := told(got); !slices.Equal(s, []string{"no records n9 0-59", "crash n1 19-19"}) {
+		t.Fatalf("%q", s)
+	}
+	if f := got[1]; f.Confidence > 0.5 || !strings.Contains(strings.Join(f.Evidence, " "), "not known") {
+		t.Errorf("a tail that is cut is taken for a crash with confidence %v: %v", f.Confidence, f.Evidence)
+	}
+}
+
+// TestSkewWidensAndNeverNarrows: with clocks that may be apart, findings of several boxes reach further.
+func TestSkewWidensAndNeverNarrows(t *testing.T) {
+	boxes := day{boxes: 8, seconds: 90, burst: [2]int{40, 47}, drain: map[int][3]int{1: {30, 33, 40}, 2: {34, 37, 44}}}.play(1)
+	plain, wide := Find(boxes, Settings{}), Find(boxes, Settings{Skew: 3 * s})
+	if len(plain) != len(wide) {
+		t.Fatalf("%d and %d findings", len(plain), len(wide))
+	}
+	find := func(list []Finding, k Kind) Finding {
+		return list[slices.IndexFunc(list, func(f Finding) bool { return f.Kind == k })]
+	}
+	for _, k := range []Kind{Burst, Deploy} {
+		a, b := find(plain, k), find(wide, k)
+		if a.From-b.From != 3*s || b.To-a.To != 3*s {
+			t.Errorf("%s: %v-%v became %v-%v", k, a.From, a.To, b.From, b.To)
+		}
+	}
+}
+
+// TestWhatCameFirstIsMarked: of troubles that overlap, the one that began before the others.
+func TestWhatCameFirstIsMarked(t *testing.T) {
+	list := Find(day{boxes: 8, seconds: 120, burst: [2]int{40, 50}, refuse: [2]int{42, 55}, reload: map[int]int{0: 100}}.play(1), Settings{})
+	var first []Kind
+	for _, f := range list {
+		if f.First {
+			first = append(first, f.Kind)
+		}
+	}
+	if !slices.Equal(first, []Kind{Burst, Reloaded}) {
+		t.Errorf("first: %v of %q", first, told(list))
+	}
+}
+
+// TestAnyRecordsGiveFindingsInOrder feeds random lives: no panic, intervals the right way round, gaps always told.
+func TestAnyRecordsGiveFindingsInOrder(t *testing.T) {
+	testkit.Steps(t, func(rt *rapid.T) map[string]func(*rapid.T) {
+		boxes := make([]Box, rapid.IntRange(1, 5).Draw(rt, "boxes"))
+		gaps := 0
+		for i := range boxes {
+			boxes[i] = Box{Name: fmt.Sprint("n", i), Lives: []Life{{Name: "a"}}}
+		}
+		now := testkit.Start
+		pick := func(rt *rapid.T) *Box { return &boxes[rapid.IntRange(0, len(boxes)-1).Draw(rt, "box")] }
+		return map[string]func(*rapid.T){
+			"event": func(rt *rapid.T) {
+				b := pick(rt)
+				l := &b.Lives[len(b.Lives)-1]
+				now += time.Duration(rapid.IntRange(-500, 3000).Draw(rt, "ms")) * time.Millisecond
+				l.Events = append(l.Events, Event{At: now, Kind: EventKind(rapid.IntRange(1, 8).Draw(rt, "kind")), OK: rapid.Bool().Draw(rt, "ok"),
+					Read: rapid.IntRange(0, 50).Draw(rt, "read"), Served: rapid.IntRange(0, 50).Draw(rt, "served"), Running: rapid.IntRange(0, 9).Draw(rt, "running")})
+			},
+			"life": func(rt *rapid.T) { b := pick(rt); b.Lives = append(b.Lives, Life{Name: fmt.Sprint(len(b.Lives))}) },
+			"gap": func(rt *rapid.T) {
+				b := pick(rt)
+				l := &b.Lives[len(b.Lives)-1]
+				l.Gaps = append(l.Gaps, Gap{From: now, To: now + s, Why: "absent"})
+				gaps++
+			},
+			"": func(rt *rapid.T) {
+				list, n := Find(boxes, Settings{Skew: s}), 0
+				for i, f := range list {
+					if i > 0 && f.From < list[i-1].From || len(f.Boxes) == 0 || len(f.Evidence) == 0 || f.Confidence <= 0 || f.Confidence > 1 {
+						rt.Fatalf("finding %+v", f)
+					}
+					if f.Kind == Missing {
+						n++
+					}
+				}
+				if n != gaps {
+					rt.Fatalf("%d gaps, %d told", gaps, n)
+				}
+			},
+		}
+	})
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -216,15 +216,21 @@
 // discard throws away what came in on a connection that ends.
 func (s *Server) discard(c *conn, r netpoll.Reader) error {
 	n := r.Len()
-	c.mu.Lock()
-	c.ending.Discard(n)
-	c.mu.Unlock()
 	if err := r.Skip(n); err != nil {
 		return err
 	}
+	s.thrown(c, n)
 	return r.Release()
 }
 
+// thrown counts input that was thrown away, and ends the connection at once when it is too much.
+func (s *Server) thrown(c *conn, n int) {
+	c.mu.Lock()
+	c.ending.Discard(n)
+	c.mu.Unlock()
+	s.act(c, c.look(conns.None))
+}
+
 // CloseIdle sets how long a connection may carry nothing before it is closed.
 func (s *Server) CloseIdle(after time.Duration) {
 	s.mu.Lock()
--- a/internal/front/tls.go
+++ b/internal/front/tls.go
@@ -117,9 +117,7 @@
 			if c.enter() {
 				t.s.feed(c, buf[:n], w.RemoteAddr())
 			} else {
-				c.mu.Lock()
-				c.ending.Discard(n)
-				c.mu.Unlock()
+				t.s.thrown(c, n)
 			}
 		}
 		if err != nil {
