--- a/internal/front/tls_test.go
+++ b/internal/front/tls_test.go
@@ -177,6 +177,12 @@
 		t.Error("garbage does not end it")
 	}
 	s.Leave()
+	s.cert.Store(certificate(t, 2)) // a swap in the drain: who still comes is served by the new one and asked to part
+	late := s.connect(t, nil)
+	if h, ok := receive(t, late); !ok || h.Name != "goaway" || serial(late) != 2 {
+		t.Errorf("who comes in the drain is told %+v, by certificate %d", h, serial(late))
+	}
+	late.Close()
 	s.core.answer()
 	names := map[string]bool{}
 	for range 2 {
