--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -23,6 +23,9 @@
 	logging.Start(os.Stderr, logging.Config{})
 	path := os.Getenv("RELAY_CONFIG")
 	cfg, err := settings.Load(path)
+	if err == nil {
+		err = cfg.Environment(os.Getenv)
+	}
 	if err == nil {
 		err = daemon.Run(path, cfg, nil, nil)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,8 +17,12 @@
 	"cairnlane/internal/catalog"
 	"cairnlane/internal/clock"
 	"cairnlane/internal/counters"
+	told "cairnlane/internal/decide/handover"
+	"cairnlane/internal/decide/lifecycle"
 	"cairnlane/internal/engine"
 	"cairnlane/internal/front"
+	"cairnlane/internal/handover"
+	"cairnlane/internal/operator"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/settings"
 )
@@ -31,6 +34,9 @@
 	exitBefore   = 60 * time.Millisecond
 	killBefore   = 10 * time.Millisecond // what is not quiet by then is not waited for
 	drainPoll    = 5 * time.Millisecond
+	// In a hand-over the kill comes after the longest deadline, at most handOverMost, and handOverRest.
+	handOverMost = 3 * time.Second
+	handOverRest = 700 * time.Millisecond
 )
 
 // Front is what a replica may have beside its plain listener.
@@ -49,7 +55,7 @@
 	Addr     string
 	Counters *counters.Set
 	signals  chan os.Signal
-	leaving  atomic.Bool
+	process  *process
 }
 
 // Drain has the replica leave, as SIGTERM does.
@@ -61,7 +67,10 @@
 }
 
 // Leaving tells whether it drains.
-func (r *Replica) Leaving() bool { return r.leaving.Load() }
+func (r *Replica) Leaving() bool {
+	s := r.process.state()
+	return s == lifecycle.Leaving || s == lifecycle.HandingOver
+}
 
 // limit fits the runtime into the limits of the program.
 func limit(l settings.Limits) {
@@ -81,45 +90,90 @@
 
 	set := new(counters.Set)
 	clk := clock.NewSystem()
-	link := engine.NewLink(cfg.Engine, clk.Now, set)
+	engineLink := engine.NewLink(cfg.Engine, clk.Now, set)
+	p := &process{effects: make(chan lifecycle.Effect, 8)}
 	var server *front.Server
-	rep, err := replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores,
-		ResultBytes: int(cfg.Limits.MemoryMB << 20 / resultShare),
-		CloseIdle:   func(after time.Duration) { server.CloseIdle(after) }}, clk, link, set)
+	var err error
+	p.Replica, err = replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores,
+		ResultBytes: int(cfg.Limits.MemoryMB << 20 / resultShare), Replaceable: cfg.Inherited > 0,
+		CloseIdle: func(after time.Duration) { server.CloseIdle(after) }}, clk, engineLink, set)
 	if err != nil {
 		return err
 	}
-	server, err = front.Listen(cfg.Listen, max(cfg.Limits.Sockets-spareSockets, 1), rep, clk.Now, set)
-	if err != nil {
+	if server, err = listen(cfg, p, clk, set); err != nil {
 		return err
 	}
 	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve() }()
+	if cfg.Control != "" {
+		d, err := operator.Listen(cfg.Control, door{p}, clk.Now, set)
+		if err != nil {
+			return err
+		}
+		go d.Serve()
+		go d.Sweep(ctx)
+	}
+	follows := false
+	if cfg.Inherited > 0 {
+		if p.peer, follows, err = handover.Open(os.TempDir()); err != nil {
+			return err
+		}
+	}
+	if p.life.Waits = follows; follows {
+		p.Follow()
+	}
+	go engineLink.Keep(ctx, p)
+	if p.peer != nil {
+		go p.peer.Keep(ctx, follows, neighbour{p})
+	}
+	if !follows {
+		p.take(lifecycle.Inherited)
+	}
 	go server.Sweep(ctx)
-	go link.Keep(ctx, rep)
 	reporter := catalog.NewReporter(cfg.Directory, cfg.Name, set)
-	go reporter.Keep(ctx)
 	if extra != nil {
 		if err := extra.Start(ctx, server, set); err != nil {
 			return err
 		}
 	}
-	self := &Replica{Name: cfg.Name, Addr: server.Addr(), Counters: set, signals: signals}
-	if started != nil {
-		started(self)
-	}
-	log.Printf("%s serves at %s", cfg.Name, server.Addr())
+	self := &Replica{Name: cfg.Name, Addr: server.Addr(), Counters: set, signals: signals, process: p}
 
 	reloads, badReloads := set.Get("configurations_reloaded"), set.Get("configurations_turned_down")
-	leaving := false
+	failed := make(chan error, 1)
 	for {
 		select {
 		case err := <-failed:
-			if !leaving {
+			if s := p.state(); s != lifecycle.Leaving && s != lifecycle.HandingOver {
 				return fmt.Errorf("the listener ended: %w", err)
 			}
 			failed = nil
+		case effect := <-p.effects:
+			if effect&lifecycle.Accept != 0 {
+				go func() { failed <- server.Serve() }()
+				go reporter.Keep(ctx)
+				if started != nil {
+					started(self)
+				}
+				log.Printf("%s serves at %s", cfg.Name, server.Addr())
+				if p.peer != nil {
+					p.peer.Send(&told.Message{Kind: told.Ready})
+				}
+			}
+			if effect&lifecycle.EndEmpty != 0 {
+				stopped := cfg
+				go func() {
+					if effect&lifecycle.DrainAll != 0 {
+						reporter.Leave()
+						leave(clk, p.Replica, server, extra, stopped)
+					} else {
+						handOver(clk, p.Replica, server, stopped)
+					}
+					report(set)
+					if extra != nil {
+						extra.Close()
+					}
+					os.Exit(0)
+				}()
+			}
 		case sig := <-signals:
 			if sig == syscall.SIGUSR1 {
 				report(set)
@@ -134,30 +188,25 @@
 				}
 				reloads.Inc()
 				cfg = next
-				link.Move(cfg.Engine)
+				engineLink.Move(cfg.Engine)
 				reporter.Move(cfg.Directory)
 				log.Printf("configuration read anew: engine %s, directory %s", cfg.Engine, cfg.Directory)
 				continue
 			}
-			if leaving {
-				continue
-			}
-			leaving = true
-			self.leaving.Store(true)
-			stopped := cfg
-			go func() {
-				reporter.Leave()
-				leave(clk, rep, server, extra, stopped)
-				report(set)
-				if extra != nil {
-					extra.Close()
-				}
-				os.Exit(0)
-			}()
+			p.take(lifecycle.Term)
 		}
 	}
 }
 
+// listen takes the platform's listening socket, or opens one.
+func listen(cfg *settings.Replica, core front.Core, clk *clock.System, set *counters.Set) (*front.Server, error) {
+	most := max(cfg.Limits.Sockets-spareSockets, 1)
+	if cfg.Inherited > 0 {
+		return front.Inherit(cfg.Inherited, most, core, clk.Now, set)
+	}
+	return front.Listen(cfg.Listen, most, core, clk.Now, set)
+}
+
 // leave drains: work goes on through the grace, then routers are asked to go, and the process ends as
 // soon as they have, at the latest just before it would be stopped.
 func leave(clk *clock.System, rep *replica.Replica, server *front.Server, extra Front, cfg *settings.Replica) {
@@ -168,6 +217,23 @@
 		extra.Leave()
 	}
 	server.Leave()
+	end(clk, rep, server, stopAt)
+}
+
+// handOver leaves the service to the successor: nothing new is taken, routers are asked to go, and the process ends as
+// soon as they have, at the latest just before it would be killed.
+func handOver(clk *clock.System, rep *replica.Replica, server *front.Server, cfg *settings.Replica) {
+	var longest time.Duration
+	for _, c := range cfg.Policy.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	stopAt := clk.Now() + min(longest, handOverMost) + handOverRest
+	server.HandOver()
+	end(clk, rep, server, stopAt)
+}
+
+// end ends the process's connections by stopAt.
+func end(clk *clock.System, rep *replica.Replica, server *front.Server, stopAt time.Duration) {
 	for clk.Now() < stopAt-exitBefore {
 		if server.Connections() == 0 && rep.Owed() == 0 {
 			return
--- a/internal/front/ends.go
+++ b/internal/front/ends.go
@@ -253,9 +253,28 @@
 	for end := time.Now().Add(s.backlogTime); s.backlog() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if err := syscall.Shutdown(s.ln.Fd(), syscall.SHUT_RD); err != nil {
+	if l, ok := s.ln.(*sharedListener); ok {
+		l.stop() // the platform holds the socket; who comes now waits for the next process
+	} else if err := syscall.Shutdown(s.ln.Fd(), syscall.SHUT_RD); err != nil {
 		log.Print("stop listening: ", err)
 	}
+	s.partAll()
+}
+
+// HandOver takes no more connections at a shared listener, whose other holders take them from now on, and asks those
+// connected to send nothing new. What was accepted before is served until its routers go.
+func (s *Server) HandOver() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	if l, ok := s.ln.(*sharedListener); ok {
+		l.stop()
+	}
+	s.partAll()
+}
+
+// partAll asks all who are connected to part.
+func (s *Server) partAll() {
 	s.mu.Lock()
 	all := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -91,7 +91,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for routers: %w", err)
 	}
-	if err := syscall.SetsockoptInt(ln.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer); err != nil {
+	return newServer(ln, ln.Fd(), most, core, now, set)
+}
+
+// Inherit takes the listening socket at a descriptor, which other processes may hold as well, in place of an address.
+func Inherit(fd, most int, core Core, now func() time.Duration, set *counters.Set) (*Server, error) {
+	ln, err := inherit(fd)
+	if err != nil {
+		return nil, fmt.Errorf("inherited listener: %w", err)
+	}
+	return newServer(ln, ln.Listener.Fd(), most, core, now, set)
+}
+
+func newServer(ln netpoll.Listener, socket, most int, core Core, now func() time.Duration, set *counters.Set) (*Server, error) {
+	err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer)
+	if err != nil {
 		return nil, fmt.Errorf("listen for routers: receive buffer: %w", err)
 	}
 	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[*conn]struct{}{},
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -39,6 +39,8 @@
 	if r.engine.Run(req.Txn, req.Class, req.Body) {
 		if req.sent {
 			r.count.resent.Inc()
+		} else {
+			r.figures.tries.Add(1)
 		}
 		req.sent, req.sentAt = true, r.clock.Now()
 	}
@@ -61,11 +63,18 @@
 	}
 	r.forget(req)
 	if k := req.key; k != nil { // repeats that waited for it never ran either
-		for _, w := range k.waiting {
-			w.waitsOn = nil
-			r.finish(w, refusal, policy.Failed)
-		}
-		k.waiting = nil
+		k.refusal = refusal
+		r.release(k, refusal, policy.Failed)
+	}
+}
+
+// release answers all who wait for the outcome of a key.
+func (r *Replica) release(k *key, a Answer, o policy.Outcome) {
+	waiting := k.waiting
+	k.waiting = nil
+	for _, w := range waiting {
+		w.waitsOn = nil
+		r.finish(w, a, o)
 	}
 }
 
@@ -115,6 +124,7 @@
 func (r *Replica) Keep(id policy.RequestID, ttl time.Duration) {
 	if req := r.live[id]; req != nil {
 		req.key = r.keys.keep(req, r.clock.Now()+ttl+keyMargin)
+		r.tellEntry(req.key)
 	}
 }
 
@@ -122,6 +132,7 @@
 func (r *Replica) Forget(id policy.RequestID) {
 	if k := r.keys.byHolder[id]; k != nil && assert.That(!k.ran, "what ran is not forgotten") {
 		r.keys.drop(k)
+		r.tellDrop(k)
 	}
 }
 
@@ -206,12 +217,8 @@
 		if k.ok {
 			r.keys.store(k, result)
 		}
-		waiting := k.waiting
-		k.waiting = nil
-		for _, w := range waiting {
-			w.waitsOn = nil
-			r.finish(w, a, end)
-		}
+		r.release(k, a, end)
+		r.tellEntry(k)
 	}
 	r.call(func() { r.ctl.Done(now, req.id, end, took) })
 }
--- a/internal/replica/keys.go
+++ b/internal/replica/keys.go
@@ -1,9 +1,10 @@
 package replica
 
 import (
-	"hash/maphash"
+	"crypto/sha256"
 	"time"
 
+	"cairnlane/internal/decide/handover"
 	"cairnlane/policy"
 )
 
@@ -12,15 +13,18 @@
 type key struct {
 	name    string
 	holder  policy.RequestID
-	content uint64        // digest of class and body, which all tries of a request share
-	until   time.Duration // tries that came to the machine before it are linked
-	dropAt  time.Duration // later than until: a try that came inside the window may be read long after it
-	ran     bool          // the holder was given to the engine
-	over    bool          // its run has ended
-	ok      bool          // with a result
-	result  []byte        // nil once dropped for room
-	stored  bool          // result is there
+	content handover.Digest // of class and body, which all tries of a request share
+	until   time.Duration   // tries that came to the machine before it are linked
+	dropAt  time.Duration   // later than until: a try that came inside the window may be read long after it
+	ran     bool            // the holder was given to the engine
+	over    bool            // its run has ended
+	ok      bool            // with a result
+	result  []byte          // nil once dropped for room
+	stored  bool            // result is there
 	waiting []*request
+	remote  bool   // the other process of a replacement has the run
+	claim   uint64 // under which this process got it from there
+	refusal Answer // what its holder was refused with
 }
 
 func (k *key) leave(req *request) {
@@ -55,18 +59,15 @@
 	return ""
 }
 
-// contentSeed makes the digests of this process differ from those of others: nobody can aim for two
-// bodies that share one.
-var contentSeed = maphash.MakeSeed()
-
-// content digests what all tries of one keyed request have in common.
-func content(q *Request) uint64 {
-	var h maphash.Hash
-	h.SetSeed(contentSeed)
-	h.WriteString(q.Class)
-	h.WriteByte(0)
+// content digests what all tries of one keyed request have in common. Nobody can make two bodies that share one, and
+// it is the same in both processes of a replacement.
+func content(q *Request) (d handover.Digest) {
+	h := sha256.New()
+	h.Write([]byte(q.Class))
+	h.Write([]byte{0})
 	h.Write(q.Body)
-	return h.Sum64()
+	copy(d[:], h.Sum(nil))
+	return d
 }
 
 // find returns the entry that a new try repeats. What counts is when the try came to the machine,
@@ -84,16 +85,21 @@
 
 // keep enters a request, in place of an entry whose time is over.
 func (t *keyTable) keep(req *request, until time.Duration) *key {
-	k := &key{name: name(req), holder: req.id, content: req.content, until: until, dropAt: until + req.class.Deadline}
+	k := &key{name: name(req), holder: req.id, content: req.content, until: until, dropAt: until + req.class.Deadline, claim: req.claim}
 	if k.name == "" {
 		return nil
 	}
+	t.enter(k)
+	return k
+}
+
+// enter adds an entry in place of the one that has its name.
+func (t *keyTable) enter(k *key) {
 	if old := t.byName[k.name]; old != nil {
 		t.drop(old)
 	}
 	t.byName[k.name], t.byHolder[k.holder] = k, k
 	t.order = append(t.order, k)
-	return k
 }
 
 func (t *keyTable) drop(k *key) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,6 +12,7 @@
 
 	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
+	"cairnlane/internal/decide/handover"
 	"cairnlane/policy"
 )
 
@@ -54,6 +55,7 @@
 	Served  Kind = iota // with the result of the run
 	Refused             // this try never ran
 	Failed
+	kinds
 )
 
 // Answer is the one final answer of a try.
@@ -81,6 +83,7 @@
 	OnCores     int      // place of the gauge among those that the engine tells
 	ResultBytes int      // bound on stored results
 	CloseIdle   func(after time.Duration)
+	Replaceable bool // another process may take over from this one, or this one does
 }
 
 const (
@@ -102,8 +105,10 @@
 	Request
 	id       policy.RequestID
 	class    *policy.Class
+	place    int // of its class
 	door     time.Duration
-	content  uint64 // Keyed: digest of class and body
+	content  handover.Digest // Keyed: of class and body
+	claim    uint64          // under which the other process of a replacement has left its key to this one
 	answered bool
 	running  bool // decided to run; its end is awaited
 	sent     bool // RUN was written at least once
@@ -119,6 +124,7 @@
 	engine  Engine
 	classes map[string]int
 	count   counts
+	figures *figures
 
 	mu      sync.Mutex // the module is entered by one caller at a time
 	ctl     *policy.Controller
@@ -127,8 +133,8 @@
 	nextID  policy.RequestID
 	live    map[policy.RequestID]*request
 	txns    map[string]*request
-	owed    int // requests without their answer
 	keys    keyTable
+	shared  shared
 	gauges  policy.Gauges
 	ticks   int  // ticks begun
 	asking  bool // the present tick waits for its gauges
@@ -151,6 +157,7 @@
 		reused: set.Get("answers_reused"), advised: set.Get("answers_with_later"), giveups: set.Get("answers_with_giveup"),
 		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), done: set.Get("runs_done"),
 		moot: set.Get("runs_done_unserved"), stray: set.Get("notices_unmatched"), rejected: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
+	r.shared = newShared(cfg.Replaceable)
 	for i := range cfg.Policy.Classes {
 		r.classes[cfg.Policy.Classes[i].Name] = i
 		r.oldest = max(r.oldest, oldestDeadlines*cfg.Policy.Classes[i].Deadline)
@@ -158,6 +165,7 @@
 	if r.cfg.Policy.KeyKB <= 0 {
 		r.cfg.Policy.KeyKB = 1e-3 // the module keeps only keys that cost something
 	}
+	r.figures = newFigures(cfg.Policy.Classes)
 	var err error
 	r.enter(func(now time.Duration) { r.ctl, err = policy.New(now, r.cfg.Policy, r) })
 	if err != nil {
@@ -200,7 +208,7 @@
 	if len(r.cfg.Tenants) > 0 && !slices.Contains(r.cfg.Tenants, q.Tenant) {
 		return fmt.Errorf("%w: unknown tenant %q", ErrRequest, q.Tenant)
 	}
-	req := &request{Request: q, class: &r.cfg.Policy.Classes[class], door: time.Duration(q.Door.UnixNano())}
+	req := &request{Request: q, class: &r.cfg.Policy.Classes[class], place: class, door: time.Duration(q.Door.UnixNano())}
 	if req.class.Semantics == policy.Keyed && q.Unique == "" {
 		return fmt.Errorf("%w: class %q needs a key", ErrRequest, q.Class)
 	}
@@ -234,24 +242,33 @@
 		r.nextID++
 		req.id = r.nextID
 		r.live[req.id], r.txns[q.Txn] = req, req
-		r.owed++
-		in := policy.Request{ID: req.id, Class: class, Retry: q.Retry, Caller: q.Caller, KB: q.KB, Rank: q.Rank,
-			Key: q.Item, Waited: max(now-req.door, 0), Due: req.door + q.Limit}
-		if k != nil {
-			in.Earlier = k.holder
+		r.figures.open.Add(1)
+		if k == nil && r.shared.possible && req.class.Semantics == policy.Keyed {
+			r.ask(now, req)
+			return
 		}
-		r.call(func() { r.ctl.Arrive(now, in) })
+		r.admit(now, req, k)
 	})
 	return err
 }
 
+// admit has the module decide on a request that repeats the one of an entry, or none.
+func (r *Replica) admit(now time.Duration, req *request, k *key) {
+	in := policy.Request{ID: req.id, Class: req.place, Retry: req.Retry, Caller: req.Caller, KB: req.KB, Rank: req.Rank,
+		Key: req.Item, Waited: max(now-req.door, 0), Due: req.door + req.Limit}
+	if k != nil {
+		in.Earlier = k.holder
+	}
+	r.call(func() { r.ctl.Arrive(now, in) })
+}
+
 // answer gives a request its one final answer.
 func (r *Replica) answer(req *request, a Answer) {
 	if !assert.That(!req.answered, "a try is answered once") {
 		return
 	}
 	req.answered = true
-	r.owed--
+	r.figures.ended(req.place, a.Kind)
 	switch a.Kind {
 	case Served:
 		r.count.served.Inc()
@@ -313,11 +330,7 @@
 }
 
 // Owed tells how many requests have no answer yet.
-func (r *Replica) Owed() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.owed
-}
+func (r *Replica) Owed() int { return int(r.figures.open.Load()) }
 
 // Healthy is the answer to health checks, from store.
 func (r *Replica) Healthy() bool {
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -23,7 +23,9 @@
 	Settings                        *Settings
 	Policy                          policy.Config
 	Tenants                         []string
-	OnCores                         int // the place of that gauge among the engine's gauges
+	OnCores                         int    // the place of that gauge among the engine's gauges
+	Control                         string // the operators' address; empty where there is none
+	Inherited                       int    // descriptor of the listening socket; 0 if the process opens its own
 }
 
 // Limits belong to the program.
@@ -45,6 +47,38 @@
 	return parse(raw)
 }
 
+func checkControl(addr string) error {
+	if addr == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("must be host:port, is %q", addr)
+	}
+	return nil
+}
+
+// firstInherited is the lowest descriptor that can be a listening socket: those before it are the standard streams.
+const firstInherited = 3
+
+// Environment takes what the platform tells a process beside the configuration: the operators' address, which is
+// another one for each process of a replacement, and the listening socket that they share.
+func (r *Replica) Environment(get func(name string) string) error {
+	if addr := get("RELAY_CONTROL"); addr != "" {
+		if err := checkControl(addr); err != nil {
+			return fmt.Errorf("RELAY_CONTROL %w", err)
+		}
+		r.Control = addr
+	}
+	if fd := get("RELAY_INHERITED_FD"); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < firstInherited {
+			return fmt.Errorf("RELAY_INHERITED_FD must be the number of a descriptor, %d or above, is %q", firstInherited, fd)
+		}
+		r.Inherited = n
+	}
+	return nil
+}
+
 // Reload reads the configuration at path anew for a replica that serves under r. The addresses of the
 // engine and the catalog may change; what the replica is and how it decides may not, since its requests,
 // keys and estimates go on. The seed is new with each start only.
@@ -54,6 +88,7 @@
 		return nil, err
 	}
 	next.Seed, next.Policy.Seed = r.Seed, r.Policy.Seed
+	next.Control, next.Inherited = r.Control, r.Inherited
 	if next.Name != r.Name || next.Listen != r.Listen {
 		return nil, fmt.Errorf("configuration: %s at %s cannot become %s at %s without a restart", r.Name, r.Listen, next.Name, next.Listen)
 	}
@@ -67,6 +102,7 @@
 func parse(raw []byte) (*Replica, error) {
 	var f struct {
 		Name, Listen, Engine, Directory, Seed string
+		Control                               string
 		StopMS                                float64 `json:"stop_ms"`
 		Limits                                Limits
 		Settings                              json.RawMessage
@@ -82,6 +118,9 @@
 			return nil, fmt.Errorf("configuration: %q must be host:port, is %q", key, addr)
 		}
 	}
+	if err := checkControl(f.Control); err != nil {
+		return nil, fmt.Errorf(`configuration: "control" %w`, err)
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf(`configuration: "seed" must be up to 16 hex digits, is %q`, f.Seed)
@@ -101,7 +140,7 @@
 	}
 	r := &Replica{Name: f.Name, Listen: f.Listen, Engine: f.Engine, Directory: f.Directory, Seed: int64(seed),
 		Stop: time.Duration(f.StopMS * float64(time.Millisecond)), Limits: f.Limits, Settings: s,
-		Policy: s.Policy(int64(seed)), OnCores: -1}
+		Policy: s.Policy(int64(seed)), OnCores: -1, Control: f.Control}
 	for _, t := range s.Tenants {
 		r.Tenants = append(r.Tenants, t.Name)
 	}
