--- a/internal/decide/handover/book.go
+++ b/internal/decide/handover/book.go
@@ -58,12 +58,7 @@
 }
 
 // Granted takes the owner's leave. False means that the claim is not waited for any more and the key is given back.
-func (b *Book) Granted(key string, seq uint64) bool { return b.settle(key, seq) }
-
-// GaveUp says that a claim has waited for too long. False means that it does not wait.
-func (b *Book) GaveUp(key string, seq uint64) bool { return b.settle(key, seq) }
-
-func (b *Book) settle(key string, seq uint64) bool {
+func (b *Book) Granted(key string, seq uint64) bool {
 	if b.asked[key] != seq || seq == 0 {
 		return false
 	}
@@ -71,6 +66,9 @@
 	return true
 }
 
+// GaveUp says that no try waits for a claim on the key any more.
+func (b *Book) GaveUp(key string) { delete(b.asked, key) }
+
 // Told says that the owner has told how a key stands; a claim on it needs no other answer.
 func (b *Book) Told(key string) { delete(b.asked, key) }
 
--- a/internal/replica/shared.go
+++ b/internal/replica/shared.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"cairnlane/internal/assert"
@@ -57,27 +58,38 @@
 // ask decides on a keyed try whose key is not known here: the other process may have run it.
 func (r *Replica) ask(now time.Duration, req *request) {
 	key := name(req)
-	switch verdict, seq := r.shared.book.Try(now, key); verdict {
+	verdict, seq := r.shared.book.Try(now, key)
+	switch verdict {
 	case handover.Take:
 		r.admit(now, req, nil)
+		return
 	case handover.Doubt:
 		r.doubt(now, req)
-	case handover.Wait:
-		r.shared.waiting[key] = append(r.shared.waiting[key], req)
+		return
 	case handover.Ask:
-		r.shared.waiting[key] = append(r.shared.waiting[key], req)
 		r.tell(&handover.Message{Kind: handover.Claim, Key: key, Seq: seq, Digest: req.content,
 			Until: req.door + req.class.Window + keyMargin, N: int64(req.door)})
-		r.clock.AfterFunc(min(claimTime, max(req.door+req.Limit-now, 0)), func() {
-			r.enter(func(now time.Duration) {
-				if r.shared.book.GaveUp(key, seq) {
-					for _, w := range r.waited(key) {
-						r.doubt(now, w)
-					}
-				}
-			})
-		})
 	}
+	r.shared.waiting[key] = append(r.shared.waiting[key], req)
+	r.clock.AfterFunc(min(claimTime, max(req.door+req.Limit-now, 0)), func() {
+		r.enter(func(now time.Duration) { r.waitedTooLong(now, key, req) })
+	})
+}
+
+// waitedTooLong ends the wait of one try, and the claim with that of the last.
+func (r *Replica) waitedTooLong(now time.Duration, key string, req *request) {
+	list := r.shared.waiting[key]
+	at := slices.Index(list, req)
+	if at < 0 {
+		return
+	}
+	if list = slices.Delete(list, at, at+1); len(list) == 0 {
+		delete(r.shared.waiting, key)
+		r.shared.book.GaveUp(key)
+	} else {
+		r.shared.waiting[key] = list
+	}
+	r.doubt(now, req)
 }
 
 // waited takes out the tries that wait for leave to run a key.
@@ -236,13 +248,20 @@
 	r.again(now, r.waited(m.Key))
 }
 
+// dropTold frees a key. Those who waited for its try are refused like it by the owner, who has let nobody else run
+// the key. At the guest they fail: the owner may have run another try of it by now.
 func (r *Replica) dropTold(m *handover.Message) {
 	k := r.keys.byName[m.Key]
-	if k == nil || !k.remote || r.shared.book.Role() == handover.Owner && !r.shared.book.Returned(m.Key, m.Seq) {
+	owner := r.shared.book.Role() == handover.Owner
+	if k == nil || !k.remote || owner && !r.shared.book.Returned(m.Key, m.Seq) {
 		return
 	}
 	r.keys.drop(k)
-	r.release(k, Answer{Kind: Refused, Later: m.Later, GiveUp: m.GiveUp}, policy.Failed)
+	if owner {
+		r.release(k, Answer{Kind: Refused, Later: m.Later, GiveUp: m.GiveUp}, policy.Failed)
+	} else {
+		r.release(k, Answer{Kind: Failed}, policy.Failed)
+	}
 }
 
 func (r *Replica) claimTold(m *handover.Message) {
