--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,6 +147,9 @@
 			}
 			failed = nil
 		case effect := <-p.effects:
+			if effect&lifecycle.Announce != 0 {
+				p.peer.Send(&told.Message{Kind: told.Ready})
+			}
 			if effect&lifecycle.Accept != 0 {
 				go func() { failed <- server.Serve() }()
 				go reporter.Keep(ctx)
@@ -154,9 +157,6 @@
 					started(self)
 				}
 				log.Printf("%s serves at %s", cfg.Name, server.Addr())
-				if p.peer != nil {
-					p.peer.Send(&told.Message{Kind: told.Ready})
-				}
 			}
 			if effect&lifecycle.EndEmpty != 0 {
 				stopped := cfg
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -93,16 +93,13 @@
 
 // Joined implements handover.Events.
 func (n neighbour) Joined(guest bool) {
-	n.mu.Lock()
-	drained, ready := n.life.Drained(), n.life.Ready() == nil
-	n.mu.Unlock()
 	if !guest {
+		n.mu.Lock()
+		drained := n.life.Drained()
+		n.mu.Unlock()
 		n.tellDrain(drained)
 	}
 	n.Replica.Joined(n.peer)
-	if guest && ready {
-		n.peer.Send(&handover.Message{Kind: handover.Ready})
-	}
 }
 
 // Told implements handover.Events.
@@ -110,8 +107,17 @@
 	switch m.Kind {
 	case handover.Synced:
 		n.take(lifecycle.Inherited)
+		n.mu.Lock()
+		again := n.life.Announced()
+		n.mu.Unlock()
+		if again {
+			n.peer.Send(&handover.Message{Kind: handover.Ready})
+		}
 	case handover.Ready:
 		n.take(lifecycle.Successor)
+		n.peer.Send(&handover.Message{Kind: handover.Known})
+	case handover.Known:
+		n.take(lifecycle.Known)
 	case handover.Drain:
 		e := lifecycle.DrainOff
 		if m.OK {
@@ -136,4 +142,5 @@
 	log.Printf("the process before this one has ended; it told all that it owed: %v", all)
 	n.Replica.TookOver(all)
 	n.take(lifecycle.Inherited)
+	n.take(lifecycle.Known)
 }
--- a/internal/decide/handover/message.go
+++ b/internal/decide/handover/message.go
@@ -13,7 +13,8 @@
 	Claim                  // guest: may I run this key?
 	Grant                  // owner: you may
 	Synced                 // owner: all that I owe has been told
-	Ready                  // guest: I have read it and take clients
+	Ready                  // guest: I have read it and am about to take clients
+	Known                  // owner: I know, and hand over when I am told to leave
 	Drain                  // both: the operator wants callers elsewhere (OK) or has them back
 	Share                  // owner: N descriptors are the guest's
 	kinds
--- a/internal/decide/lifecycle/lifecycle.go
+++ b/internal/decide/lifecycle/lifecycle.go
@@ -36,6 +36,7 @@
 const (
 	Engine        Event = iota // the engine has said hello
 	Inherited                  // what a process before this one owes is known; at once where there is none
+	Known                      // the process before this one knows that this one is about to take clients, or has ended
 	DrainOn                    // the operators' calls, at this process or at the other one
 	DrainOff                   //
 	Successor                  // a process that replaces this one takes clients
@@ -49,7 +50,8 @@
 
 // The effects.
 const (
-	Accept     Effect = 1 << iota // begin to take clients
+	Announce   Effect = 1 << iota // tell the process before this one that clients are about to be taken
+	Accept                        // begin to take clients
 	StopAccept                    // take no more, but leave the listening socket to the successor
 	Part                          // ask all callers to open no new request on their connections
 	DrainAll                      // the module drains, the catalog hears of it, and listening ends after the grace
@@ -62,12 +64,15 @@
 // Life is one process. The zero value has no predecessor to wait for and is not safe for concurrent use.
 type Life struct {
 	// Waits says that there is a process before this one. Clients are then taken only once what it owes is known
-	// and the engine is there: until then it serves them better.
+	// and the engine is there: until then it serves them better. And it must know of this one first: its notice to
+	// leave may come as soon as this one says yes, and without a successor it would drain the whole replica.
 	Waits bool
 
 	state     State
 	engine    bool
 	inherited bool
+	announced bool
+	known     bool
 	drained   bool
 	successor bool
 }
@@ -81,6 +86,9 @@
 	case Inherited:
 		l.inherited = true
 		return l.open(), nil
+	case Known:
+		l.known = true
+		return l.open(), nil
 	case DrainOn, DrainOff:
 		return 0, l.drain(e == DrainOn)
 	case Successor:
@@ -95,8 +103,15 @@
 
 // open begins the service once all that it needs is there.
 func (l *Life) open() Effect {
-	if l.state != Starting || l.Waits && !(l.engine && l.inherited) || !l.Waits && !l.inherited {
+	switch {
+	case l.state != Starting || !l.inherited || l.Waits && !l.engine:
 		return 0
+	case l.Waits && !l.known:
+		if l.announced {
+			return 0
+		}
+		l.announced = true
+		return Announce
 	}
 	l.state = Serving
 	if l.drained {
@@ -135,6 +150,9 @@
 // State tells what the process is.
 func (l *Life) State() State { return l.state }
 
+// Announced tells whether the process before this one was told of it, which a new link to it has to repeat.
+func (l *Life) Announced() bool { return l.announced }
+
 // Drained tells whether the operator wants callers elsewhere, whatever the process is.
 func (l *Life) Drained() bool { return l.drained }
 
@@ -161,6 +179,8 @@
 			return fmt.Errorf("%w: the process before this one has not told yet what it owes", ErrNotNow)
 		case l.Waits && !l.engine:
 			return fmt.Errorf("%w: the engine has not said hello", ErrNotNow)
+		case l.Waits && !l.known:
+			return fmt.Errorf("%w: the process before this one has not heard of it", ErrNotNow)
 		}
 	}
 	return fmt.Errorf("%w: this process is %v", ErrNotNow, l.state)
--- a/internal/front/inherit.go
+++ b/internal/front/inherit.go
@@ -50,8 +50,8 @@
 	if l.set, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	// Exclusive: of the processes that wait for the same connection one is woken, not all.
-	err = unix.EpollCtl(l.set, unix.EPOLL_CTL_ADD, l.Listener.Fd(), &unix.EpollEvent{Events: unix.EPOLLIN | unix.EPOLLEXCLUSIVE, Fd: int32(l.Listener.Fd())})
+	// Not exclusively: both processes are woken for a connection, as the one that is woken may be about to stop.
+	err = unix.EpollCtl(l.set, unix.EPOLL_CTL_ADD, l.Listener.Fd(), &unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(l.Listener.Fd())})
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: watch it: %w", fd, err)
 	}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -254,7 +254,9 @@
 	defer func() {
 		l.mu.Lock()
 		l.conn, l.raw, l.queue = nil, nil, nil
-		l.setMark(someTold)
+		if ctx.Err() == nil { // else this process ends, and the other one reads what is on its way
+			l.setMark(someTold)
+		}
 		l.mu.Unlock()
 		c.Close()
 		l.events.Parted()
