Replace real processes under load 200 times, and doubt what a dead process may have run

Need: the parts of a replacement were tested apart; nothing showed two real processes on one inherited listener under load, with kills.

Seen: the old process was killed before the new one had reached it, so the new one found the lock free and took itself for the first. Ruled out: claims (their messages were never sent). Now the file of the lock says whether its last owner ended in order; if not, saves that are not known here fail until they can no longer come again. The race detector found the door reading what the start still wrote (Life.Waits): now under the lock. A process that ends no longer takes one more link on its way.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test lint run fuzz year figures
+.PHONY: build test lint run fuzz year replace figures
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -28,6 +28,8 @@
 	go test -run '^$$' -fuzz FuzzFeed -fuzztime 20s ./internal/front
 	go test -run '^$$' -fuzz FuzzMessage -fuzztime 20s ./internal/thrift
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/state/keystore
+	go test -run '^$$' -fuzz FuzzFeed -fuzztime 20s ./internal/operator
+	go test -run '^$$' -fuzz FuzzMessage -fuzztime 20s ./internal/handover
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/config
 	go test -run '^$$' -fuzz FuzzChain -fuzztime 20s ./internal/certs
 
@@ -36,6 +38,10 @@
 year: build
 	bin/cairnctl trial certificates --seed $(SEED) --out logs/year
 
+# Replacements of real processes under load, one in three with a kill; half a minute. SEED=n draws others.
+replace: build
+	bin/cairnctl trial replace --seed $(SEED)
+
 # What TLS costs beside plain connections: per request, per handshake, and memory per idle connection.
 figures:
 	go test -run '^$$' -bench 'Request|Handshake|Idle' ./internal/front
--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -22,6 +22,7 @@
 
 	"cairnlane/internal/certs/year"
 	"cairnlane/internal/control"
+	"cairnlane/internal/handover/replace"
 	"cairnlane/internal/standin/authority"
 )
 
@@ -54,6 +55,13 @@
 			Days int    `default:"365" help:"How long it lasts on the box's clock."`
 			Out  string `default:"." help:"Folder for the table and the chart."`
 		} `cmd:"" help:"Play a simulated year of certificates on loopback."`
+		Replace struct {
+			Seed    uint64   `default:"1" help:"Draws load, moments and kills."`
+			Count   int      `default:"200" help:"How many replacements."`
+			Sockets int      `default:"256" help:"Limit on the descriptors of both processes."`
+			Site    string   `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
+			Command []string `default:"bin/cairnlane" help:"Starts a replica."`
+		} `cmd:"" help:"Replace real replica processes under load on loopback, one in three with a kill."`
 	} `cmd:"" help:"Trials of this program, with its stand-ins."`
 	Completion struct {
 		Shell string `arg:"" enum:"bash" help:"bash."`
@@ -116,6 +124,8 @@
 		return o.authority(w)
 	case "trial certificates":
 		return o.year(w)
+	case "trial replace":
+		return o.replace(w)
 	default:
 		return completion(w, model)
 	}
@@ -194,6 +204,28 @@
 	return nil
 }
 
+// replace plays replacements; an error says which bounds were missed.
+func (o *options) replace(w io.Writer) error {
+	t := o.Trial.Replace
+	dir, err := os.MkdirTemp("", "replace")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := replace.Run(replace.Config{Seed: t.Seed, Replacements: t.Count, Command: t.Command, Site: t.Site, Dir: dir, Sockets: t.Sockets, Progress: w})
+	if err != nil {
+		return err
+	}
+	for _, n := range f.Notes {
+		fmt.Fprintln(w, n)
+	}
+	fmt.Fprintln(w, f)
+	if missed := f.Missed(); len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
 // completion prints a completion for bash from the commands that there are.
 func completion(w io.Writer, model *kong.Application) error {
 	fmt.Fprintln(w, "_cairnctl() {\n  local at=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$at\" in")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,20 +112,27 @@
 		go d.Serve()
 		go d.Sweep(ctx)
 	}
-	follows := false
+	past := handover.Fresh
 	if cfg.Inherited > 0 {
-		if p.peer, follows, err = handover.Open(os.TempDir()); err != nil {
+		if p.peer, past, err = handover.Open(os.TempDir()); err != nil {
 			return err
 		}
 	}
-	if p.life.Waits = follows; follows {
+	switch past {
+	case handover.Follows:
+		p.mu.Lock() // the door may be asked already
+		p.life.Waits = true
+		p.mu.Unlock()
 		p.Follow()
+	case handover.Died: // its saves may come again, and what it ran is not known
+		log.Print("the last process here has died; saves that it may have run fail until they can no longer come again")
+		p.Replica.TookOver(false)
 	}
 	go engineLink.Keep(ctx, p)
 	if p.peer != nil {
-		go p.peer.Keep(ctx, follows, neighbour{p})
+		go p.peer.Keep(ctx, past, neighbour{p})
 	}
-	if !follows {
+	if past != handover.Follows {
 		p.take(lifecycle.Inherited)
 	}
 	go server.Sweep(ctx)
@@ -164,6 +171,9 @@
 					if effect&lifecycle.DrainAll != 0 {
 						reporter.Leave()
 						leave(clk, p.Replica, server, extra, stopped)
+						if p.peer != nil {
+							p.peer.End()
+						}
 					} else {
 						handOver(clk, p.Replica, server, stopped)
 					}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -62,13 +62,24 @@
 const (
 	someTold byte = '0'
 	allTold  byte = '1'
+	inOrder  byte = 'e'
 )
 
-// Open prepares a link in a folder that both processes share, and tells whether there is a process before this one.
-func Open(dir string) (l *Link, follows bool, err error) {
+// Past is what a process finds in the folder.
+type Past int
+
+// What a process may find.
+const (
+	Fresh   Past = iota // no process was here, or the last one has ended in order
+	Follows             // there is a process before this one
+	Died                // the last one has died and told nobody what it ran
+)
+
+// Open prepares a link in a folder that both processes share, and tells what it finds there.
+func Open(dir string) (l *Link, past Past, err error) {
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, false, fmt.Errorf("hand-over: %w", err)
+		return nil, Fresh, fmt.Errorf("hand-over: %w", err)
 	}
 	l = &Link{dir: dir, lock: f}
 	got, err := l.tryLock(false)
@@ -81,9 +92,22 @@
 	}
 	if err != nil {
 		f.Close()
-		return nil, false, fmt.Errorf("hand-over: %w", err)
+		return nil, Fresh, fmt.Errorf("hand-over: %w", err)
+	}
+	switch {
+	case !got:
+		return l, Follows, nil
+	case l.readMark() != inOrder:
+		return l, Died, nil
 	}
-	return l, !got, nil
+	return l, Fresh, nil
+}
+
+// End says that this process ends in order and leaves nobody behind: whoever starts next has nothing to doubt.
+func (l *Link) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setMark(inOrder)
 }
 
 // tryLock tries to own the claims. One who was not told all leaves them to one who was, unless sure.
@@ -113,7 +137,7 @@
 func (l *Link) readMark() byte {
 	var b [1]byte
 	if _, err := l.lock.ReadAt(b[:], 0); err != nil {
-		return someTold
+		return inOrder // the file is new
 	}
 	return b[0]
 }
@@ -129,10 +153,10 @@
 	l.mark = m
 }
 
-// Keep keeps up the link until ctx ends. follows is Open's.
-func (l *Link) Keep(ctx context.Context, follows bool, events Events) {
+// Keep keeps up the link until ctx ends. past is Open's.
+func (l *Link) Keep(ctx context.Context, past Past, events Events) {
 	l.events = events
-	if follows {
+	if past == Follows {
 		if !l.follow(ctx) {
 			return
 		}
@@ -188,13 +212,14 @@
 	}
 	ln.SetUnlinkOnClose(false)
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
-	for {
+	for ctx.Err() == nil {
 		c, err := ln.AcceptUnix()
 		if err != nil {
 			return err
 		}
 		l.run(ctx, c, false)
 	}
+	return nil
 }
 
 // follow is a guest's life, until it owns the claims. False means that ctx has ended.
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -19,10 +19,10 @@
 // process is one end of a link as a test sees it: what it is told comes out of a channel.
 type process struct {
 	*Link
-	told    chan string
-	cancel  context.CancelFunc
-	ended   chan struct{}
-	follows bool
+	told   chan string
+	cancel context.CancelFunc
+	ended  chan struct{}
+	past   Past
 }
 
 func (p *process) Joined(guest bool) {
@@ -40,14 +40,14 @@
 
 func begin(t *testing.T, dir string) *process {
 	t.Helper()
-	l, follows, err := Open(dir)
+	l, past, err := Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{Link: l, told: make(chan string, 1000), cancel: cancel, ended: make(chan struct{}), follows: follows}
+	p := &process{Link: l, told: make(chan string, 1000), cancel: cancel, ended: make(chan struct{}), past: past}
 	go func() {
-		p.Keep(ctx, follows, p)
+		p.Keep(ctx, past, p)
 		l.lock.Close() // as the end of the process does
 		close(p.ended)
 	}()
@@ -82,11 +82,11 @@
 func TestAProcessTakesOverFromTheOneBeforeIt(t *testing.T) {
 	dir := t.TempDir()
 	old := begin(t, dir)
-	if old.follows {
+	if old.past != Fresh {
 		t.Fatal("the first follows somebody")
 	}
 	next := begin(t, dir)
-	if !next.follows {
+	if next.past != Follows {
 		t.Fatal("the second follows nobody")
 	}
 	next.want(t, "joined true", entry, synced)
@@ -160,12 +160,25 @@
 		t.Fatal(err)
 	}
 	again := begin(t, dir)
-	if again.follows {
-		t.Error("it follows a process that is dead")
+	if again.past != Died {
+		t.Errorf("it finds %v, not a process that has died", again.past)
 	}
 	begin(t, dir).want(t, "joined true", entry, synced)
 }
 
+func TestAProcessThatEndsInOrderLeavesNoDoubt(t *testing.T) {
+	dir := t.TempDir()
+	old := begin(t, dir)
+	for old.readMark() != someTold { // until it owns the claims
+		time.Sleep(time.Millisecond)
+	}
+	old.End()
+	old.end()
+	if next := begin(t, dir); next.past != Fresh {
+		t.Errorf("it finds %v", next.past)
+	}
+}
+
 // A successor that does not read holds up nobody: messages queue, and the mark says that it was not told all.
 func TestASuccessorThatDoesNotReadIsMarked(t *testing.T) {
 	dir := t.TempDir()
