Split descriptors, memory and pools between the two processes of a replacement

Need: as in the design before: the limits count both processes together.

The test with a table of 112 idle connections of 160 descriptors hands over 32, never more than 64 in both; before, the successor had none left.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,6 +103,7 @@
 	if server, err = listen(cfg, p, clk, set); err != nil {
 		return err
 	}
+	p.split = split{limits: cfg.Limits, server: server, replica: p.Replica}
 	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
 		d, err := operator.Listen(cfg.Control, door{p}, clk.Now, set)
@@ -124,6 +125,7 @@
 		p.life.Waits = true
 		p.mu.Unlock()
 		p.Follow()
+		p.split.follow()
 	case handover.Died: // its saves may come again, and what it ran is not known
 		log.Print("the last process here has died; saves that it may have run fail until they can no longer come again")
 		p.Replica.TookOver(false)
@@ -210,7 +212,7 @@
 
 // listen takes the platform's listening socket, or opens one.
 func listen(cfg *settings.Replica, core front.Core, clk *clock.System, set *counters.Set) (*front.Server, error) {
-	most := max(cfg.Limits.Sockets-spareSockets, 1)
+	most := mostConnections(cfg.Limits.Sockets, 1)
 	if cfg.Inherited > 0 {
 		return front.Inherit(cfg.Inherited, most, core, clk.Now, set)
 	}
@@ -238,6 +240,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	stopAt := clk.Now() + min(longest, handOverMost) + handOverRest
+	rep.StopAt(stopAt)
 	server.HandOver()
 	end(clk, rep, server, stopAt)
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -17,6 +17,7 @@
 type process struct {
 	*replica.Replica
 	peer    *link.Link // nil where no replacement is possible
+	split   split      // of the limits, with the other process
 	effects chan lifecycle.Effect
 
 	mu   sync.Mutex // guards life; nothing is called under it
@@ -114,8 +115,11 @@
 			n.peer.Send(&handover.Message{Kind: handover.Ready})
 		}
 	case handover.Ready:
+		n.split.halve(n.peer.Send)
 		n.take(lifecycle.Successor)
 		n.peer.Send(&handover.Message{Kind: handover.Known})
+	case handover.Share:
+		n.split.told(int(m.N))
 	case handover.Known:
 		n.take(lifecycle.Known)
 	case handover.Drain:
@@ -134,6 +138,9 @@
 // Parted implements handover.Events.
 func (n neighbour) Parted() {
 	n.Replica.Parted()
+	if n.Replica.Owner() { // else the other one may be there still
+		n.split.alone()
+	}
 	n.take(lifecycle.SuccessorGone)
 }
 
@@ -141,6 +148,7 @@
 func (n neighbour) TookOver(all bool) {
 	log.Printf("the process before this one has ended; it told all that it owed: %v", all)
 	n.Replica.TookOver(all)
+	n.split.alone()
 	n.take(lifecycle.Inherited)
 	n.take(lifecycle.Known)
 }
--- /dev/null
+++ b/internal/daemon/split_test.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"net"
+	"runtime/debug"
+	"testing"
+	"time"
+
+	"cairnlane/internal/clock"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/decide/handover"
+	"cairnlane/internal/front"
+	"cairnlane/internal/replica"
+	"cairnlane/internal/settings"
+)
+
+// idle is an engine that is never there.
+type idle struct{}
+
+func (idle) Run(string, string, []byte) bool { return false }
+func (idle) AskGauges() bool                 { return false }
+
+// TestAFullTableMakesRoomForASuccessor has a process whose table clients hold for nothing halve it for its successor, tell
+// it what is left, and take all back when it is alone again. Without the split the successor had 0 of 160 descriptors.
+func TestAFullTableMakesRoomForASuccessor(t *testing.T) {
+	cfg, err := settings.Load("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	limits := settings.Limits{Cores: 1, MemoryMB: 64, Sockets: 160}
+	clk, set := clock.NewSystem(), new(counters.Set)
+	rep, err := replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores, ResultBytes: 1 << 20, Replaceable: true}, clk, idle{}, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := front.Listen("127.0.0.1:0", mostConnections(limits.Sockets, 1), rep, clk.Now, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve()
+	for range mostConnections(limits.Sockets, 1) {
+		c, err := net.Dial("tcp", server.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for end := time.Now().Add(20 * time.Second); server.Connections() < mostConnections(limits.Sockets, 1); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are held", server.Connections())
+		}
+	}
+	s := &split{limits: limits, server: server, replica: rep}
+	given := make(chan int, 100)
+	s.halve(func(m *handover.Message) {
+		if m.Kind == handover.Share {
+			given <- int(m.N)
+		}
+	})
+	all := mostConnections(limits.Sockets, 2)
+	for end := time.After(20 * time.Second); ; {
+		select {
+		case n := <-given:
+			held := server.Connections()
+			if n+max(held, all/2) > all+1 {
+				t.Fatalf("%d are given away while %d are held, of %d", n, held, all)
+			}
+			if n == all/2 {
+				if held > all/2 {
+					t.Errorf("%d are held, want %d at most", held, all/2)
+				}
+				s.alone()
+				if got := debug.SetMemoryLimit(-1); got != int64(memoryShare*float64(limits.MemoryMB<<20)) {
+					t.Errorf("memory limit %d when alone again", got)
+				}
+				return
+			}
+		case <-end:
+			t.Fatalf("%d connections are held, and half were never given", server.Connections())
+		}
+	}
+}
--- a/internal/decide/conns/table.go
+++ b/internal/decide/conns/table.go
@@ -34,9 +34,12 @@
 // connected, so it needs to be spared only for as long as a busy process leaves it unread; and routers need no
 // more than half of the descriptors, so a quarter can be left to those that have not called yet.
 func DefaultLimits(most int) Limits {
-	return Limits{Most: most, Fresh: 250 * time.Millisecond, Silent: most / 4}
+	return Limits{Most: most, Fresh: 250 * time.Millisecond, Silent: most / silentPart}
 }
 
+// silentPart is which part of a table may be silent before the oldest go.
+const silentPart = 4
+
 // Conn is a handle to a connection of the table. Its owner embeds it.
 type Conn struct {
 	prev, next *Conn
@@ -67,6 +70,12 @@
 // Len tells how many connections are held.
 func (t *Table) Len() int { return t.n[Silent] + t.n[Checker] + t.n[Caller] }
 
+// SetMost changes how many may be held. It closes nothing: what is over it has to be looked at.
+func (t *Table) SetMost(most int) { t.limits.Most, t.limits.Silent = most, most/silentPart }
+
+// Over tells by how many more than may be held there are.
+func (t *Table) Over() int { return max(0, t.Len()-t.limits.Most) }
+
 // Full tells whether one has to go before another comes.
 func (t *Table) Full() bool { return t.Len() >= t.limits.Most }
 
--- a/internal/front/ends.go
+++ b/internal/front/ends.go
@@ -139,6 +139,38 @@
 	return false
 }
 
+// SetMost changes how many connections may be held, and ends as many as it takes of those that are missed least. It
+// tells how many are left: those that are in use are not ended, and go as they become quiet.
+func (s *Server) SetMost(most int) (left int) {
+	s.mu.Lock()
+	s.table.SetMost(most)
+	s.mu.Unlock()
+	s.shrink()
+	return s.Connections()
+}
+
+// shrink ends connections while the table holds more than it may.
+func (s *Server) shrink() {
+	s.mu.Lock()
+	over := s.table.Over()
+	s.mu.Unlock()
+	for range over {
+		s.mu.Lock()
+		victim, sure := s.victim(false)
+		s.mu.Unlock()
+		switch {
+		case victim == nil:
+			return
+		case sure:
+			s.act(victim, conns.Close)
+		case !s.fence.pass(fenceTime):
+			return
+		default:
+			s.look(victim)
+		}
+	}
+}
+
 // look closes a victim if it is still quiet.
 func (s *Server) look(victim *conn) bool {
 	if victim.look(conns.Evicted) != conns.Close {
@@ -200,6 +232,7 @@
 		case <-ctx.Done():
 			return
 		}
+		s.shrink()
 		s.sweep(false)
 	}
 }
--- a/internal/replica/shared.go
+++ b/internal/replica/shared.go
@@ -135,6 +135,16 @@
 // lapse is how long an entry of the other process is kept beyond its window.
 func (r *Replica) lapse() time.Duration { return r.oldest / oldestDeadlines }
 
+// Share gives this process a part of what the replica may hold and run, while another one has the rest.
+func (r *Replica) Share(share float64) {
+	r.enter(func(now time.Duration) { r.call(func() { r.ctl.Share(now, share) }) })
+}
+
+// StopAt says when this process ends, though the replica goes on: all is answered by then.
+func (r *Replica) StopAt(at time.Duration) {
+	r.enter(func(now time.Duration) { r.call(func() { r.ctl.StopAt(now, at) }) })
+}
+
 // Follow says, before anything is taken, that there is a process before this one.
 func (r *Replica) Follow() { r.enter(func(time.Duration) { r.shared.book.Follow() }) }
 
@@ -156,6 +166,13 @@
 	})
 }
 
+// Owner tells whether this process owns the claims on keys.
+func (r *Replica) Owner() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shared.book.Role() == handover.Owner
+}
+
 // Parted says that the link has ended. What the guest may run has an outcome that nobody knows.
 func (r *Replica) Parted() {
 	r.enter(func(now time.Duration) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -163,7 +163,8 @@
 
 	back            time.Duration // when this server returns to the list it has left; 0 while on it
 	draining        bool
-	drainAt, stopAt time.Duration
+	drainAt, stopAt time.Duration // stopAt is 0 while no stop is known
+	share           float64       // of the server, where another process of it runs work as well
 	signal          float64
 }
 
@@ -180,7 +181,7 @@
 	cfg.RunFactor, cfg.FallFactor = max(cfg.RunFactor, 1), max(cfg.FallFactor, 1)
 	c := &Controller{cfg: cfg, host: host, now: now, began: now, ticked: now, resized: now, lastStart: now,
 		rng: uint64(cfg.Seed), live: map[RequestID]*request{}, keys: map[RequestID]bool{},
-		callers: map[int]*caller{}, reuse: 1, signal: -1, refused: map[RequestID]bool{}}
+		callers: map[int]*caller{}, reuse: 1, share: 1, signal: -1, refused: map[RequestID]bool{}}
 	tightest := time.Duration(math.MaxInt64)
 	for i, k := range cfg.Classes {
 		if k.Aim <= 0 || k.Deadline <= 0 {
@@ -434,7 +435,14 @@
 		warmth = c.cfg.ColdFrom + (1-c.cfg.ColdFrom)*float64(c.now-c.began)/float64(c.cfg.ColdFor)
 	}
 	limit := float64(c.cfg.Cores) * (1 + (c.cfg.FallFactor-1)*warmth)
-	return max(1, int(limit*crowdShare))
+	return max(1, int(limit*crowdShare*c.share))
+}
+
+// Share gives this instance a part of its server, while another process of it runs work (rule 4).
+func (c *Controller) Share(now time.Duration, share float64) {
+	c.begin(now)
+	c.share = share
+	c.pool = min(c.pool, c.crowd())
 }
 
 // resize takes one of the paper's three steps, or climbs while cores idle though work is held.
@@ -891,9 +899,15 @@
 	c.say()
 }
 
+// StopAt says when this process ends though its server goes on: all is answered before then.
+func (c *Controller) StopAt(now, stopAt time.Duration) {
+	c.begin(now)
+	c.stopAt = stopAt
+}
+
 // limit is the given time, or the last moment before a stop.
 func (c *Controller) limit(at time.Duration) time.Duration {
-	if c.draining {
+	if c.stopAt > 0 {
 		return min(at, c.stopAt-stopSlacks*max(c.cfg.AnswerSlack, c.tick))
 	}
 	return at
@@ -1007,5 +1021,5 @@
 }
 
 func (c *Controller) memoryLimit() float64 {
-	return memoryShare*c.cfg.MemoryKB - float64(len(c.keys))*c.cfg.KeyKB
+	return memoryShare*c.share*c.cfg.MemoryKB - float64(len(c.keys))*c.cfg.KeyKB
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -167,6 +167,41 @@
 	}
 }
 
+// Two processes of one server each used to run as many as it survives.
+func TestAShareBoundsWhatRuns(t *testing.T) {
+	cfg := testConfig()
+	cfg.MemoryKB = 1e6
+	for _, share := range []float64{1, 0.5} {
+		c, _ := start(t, cfg)
+		c.Share(0, share)
+		for id := RequestID(1); id <= 40; id++ {
+			c.Arrive(0, Request{ID: id, KB: 10})
+		}
+		for now := 25 * ms; now < 30*time.Second; now += 25 * ms { // idle cores and held work: the pool climbs to its bound
+			c.Tick(now, Gauges{})
+		}
+		if most := int(12 * crowdShare * share); c.pool > most {
+			t.Errorf("share %g: a pool of %d, want %d at most", share, c.pool, most)
+		}
+	}
+}
+
+// A process that hands over and is killed after sent nobody away, and must answer all before.
+func TestAllIsAnsweredBeforeAStopWithoutADrain(t *testing.T) {
+	c, h := start(t, testConfig())
+	for id := RequestID(1); id <= 3; id++ {
+		c.Arrive(0, Request{ID: id, KB: 10})
+	}
+	want(t, h, "run 1, run 2")
+	c.StopAt(0, 3*time.Second)
+	c.Arrive(1500*ms, Request{ID: 4, KB: 10})
+	want(t, h, "")
+	c.Tick(2800*ms, Gauges{OnCores: 2})
+	if got := h.take(); got != "refuse 1, halt 1, refuse 2, halt 2, refuse 3, refuse 4" {
+		t.Errorf("unanswered before the stop: %q", got)
+	}
+}
+
 func TestDropProbFollowsDelay(t *testing.T) {
 	c, _ := start(t, testConfig())
 	c.Arrive(0, Request{ID: 1, KB: 10})
