--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -23,16 +24,23 @@
 	"cairnlane/internal/certs/year"
 	"cairnlane/internal/control"
 	"cairnlane/internal/handover/replace"
+	"cairnlane/internal/operator"
 	"cairnlane/internal/standin/authority"
 )
 
 type options struct {
 	Socket string `default:"state/control.sock" env:"CAIRNLANE_CONTROL" help:"The daemon's control socket."`
+	Door   string `env:"RELAY_CONTROL" placeholder:"HOST:PORT" help:"The operators' address of a replica on the platform; check, vars and drain go there instead of to the socket."`
 	Output string `default:"text" enum:"text,json" help:"text or json."`
 
 	Status struct{} `cmd:"" help:"How the daemon stands."`
-	Drain  struct{} `cmd:"" help:"Have the daemon finish its work and end."`
-	Cert   struct {
+	Check  struct{} `cmd:"" help:"Whether the replica takes clients; exit code 1 if not, with the reason."`
+	Vars   struct{} `cmd:"" help:"The replica's figures: requests by class and outcome, tries, in progress."`
+	Drain  struct {
+		Switch string `arg:"" enum:"on,off" help:"on: have callers go elsewhere. off: have them back."`
+	} `cmd:"" help:"Drain the replica, or end the drain. It goes on running either way."`
+	Stop struct{} `cmd:"" help:"Have the daemon finish its work and end."`
+	Cert struct {
 		Status  struct{} `cmd:"" help:"The certificates, their lifetimes and alarms."`
 		History named    `cmd:"" help:"What has happened to a certificate."`
 		Renew   named    `cmd:"" help:"Renew a certificate now, within the budget of orders."`
@@ -99,8 +107,14 @@
 				fmt.Fprintf(t, "%s\t%d\n", n, s.Counters[n])
 			}
 		})
-	case "drain":
-		return c.Drain()
+	case "check":
+		return o.answer(w, o.ask(c, "check"))
+	case "vars":
+		return o.vars(w, c)
+	case "drain <switch>":
+		return o.answer(w, o.ask(c, "drain-"+o.Drain.Switch))
+	case "stop":
+		return c.Stop()
 	case "cert status":
 		l, err := c.Certificates()
 		return o.show(w, l, err, func(t io.Writer) {
@@ -131,6 +145,57 @@
 	}
 }
 
+// doorTime is how long a replica may take to answer at its door.
+const doorTime = 2 * time.Second
+
+// ask makes a call at the door, or at the daemon's socket, that has no more than yes for an answer.
+func (o *options) ask(c *control.Client, call string) error {
+	if o.Door != "" {
+		_, err := operator.Ask(o.Door, call, doorTime)
+		return err
+	}
+	_, err := c.Ask(call)
+	return err
+}
+
+// answer prints a yes. A no is printed as well where a program reads it, and is an error either way.
+func (o *options) answer(w io.Writer, err error) error {
+	if o.Output == "json" {
+		out := struct {
+			Yes    bool   `json:"yes"`
+			Reason string `json:"reason,omitempty"`
+		}{Yes: err == nil}
+		if err != nil {
+			out.Reason = err.Error()
+		}
+		return errors.Join(json.NewEncoder(w).Encode(out), err)
+	}
+	if err == nil {
+		_, err = fmt.Fprintln(w, "yes")
+	}
+	return err
+}
+
+// vars prints the figures, sorted.
+func (o *options) vars(w io.Writer, c *control.Client) error {
+	var text string
+	var err error
+	if o.Door != "" {
+		text, err = operator.Ask(o.Door, "vars", doorTime)
+	} else {
+		text, err = c.Ask("vars")
+	}
+	if err != nil {
+		return err
+	}
+	values, err := operator.Values(text)
+	return o.show(w, values, err, func(t io.Writer) {
+		for _, name := range slices.Sorted(maps.Keys(values)) {
+			fmt.Fprintf(t, "%s\t%d\n", name, values[name])
+		}
+	})
+}
+
 func day(t time.Time) string {
 	if t.IsZero() {
 		return "-"
--- a/cmd/cairnctl/main_test.go
+++ b/cmd/cairnctl/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -14,16 +15,36 @@
 
 	"cairnlane/internal/certs"
 	"cairnlane/internal/control"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/operator"
+	"cairnlane/internal/replica"
 	"cairnlane/internal/state/keystore"
+	"cairnlane/internal/testkit"
 )
 
 // box is a daemon that answers from store and notes what it is asked to do.
-type box struct{ done []string }
+type box struct {
+	done []string
+	no   error
+}
 
 func (b *box) Status() control.Status {
 	return control.Status{Name: "box1", Listen: "127.0.0.1:7001", Counters: map[string]int64{"answers_served": 7}}
 }
-func (b *box) Drain() { b.done = append(b.done, "drain") }
+func (b *box) Stop()                      { b.done = append(b.done, "stop") }
+func (b *box) Operator() operator.Replica { return b }
+
+// Ready, Drain and Figures make the box what the door speaks of.
+func (b *box) Ready() error { return b.no }
+func (b *box) Drain(on bool) error {
+	if b.no == nil {
+		b.done = append(b.done, fmt.Sprint("drain ", on))
+	}
+	return b.no
+}
+func (b *box) Figures() replica.Figures {
+	return replica.Figures{Tries: 5, Classes: []replica.ClassFigures{{Name: "read", Served: 7}}}
+}
 func (b *box) Certificates() []certs.Status {
 	return []certs.Status{{Name: "site", Alarm: "warning", Phase: "waiting", NotAfter: time.Unix(1_764_576_000, 0).UTC(), Failures: 3}}
 }
@@ -84,16 +105,52 @@
 
 func TestWhatTheToolDoes(t *testing.T) {
 	b := new(box)
-	for _, words := range []string{"drain", "cert renew site", "cert revoke site --reason 4"} {
+	for _, words := range []string{"drain on", "drain off", "stop", "cert renew site", "cert revoke site --reason 4"} {
 		if _, err := call(t, b, strings.Fields(words)...); err != nil {
 			t.Errorf("%s: %v", words, err)
 		}
 	}
-	if got := strings.Join(b.done, ", "); got != "drain, renew site, revoke site iiii" {
+	if got := strings.Join(b.done, ", "); got != "drain true, drain false, stop, renew site, revoke site iiii" {
 		t.Errorf("done: %s", got)
 	}
 }
 
+// The same calls go over the daemon's socket and to a door of the platform.
+func TestOperatorsCallsBothWays(t *testing.T) {
+	b := new(box)
+	clock := testkit.NewClock()
+	d, err := operator.Listen("127.0.0.1:0", b, clock.Now, new(counters.Set))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go d.Serve()
+	defer d.Close()
+	for _, where := range [][]string{nil, {"--door", d.Addr()}} {
+		b.done, b.no = nil, nil
+		for words, want := range map[string]string{
+			"check": "yes\n", "--output json check": `{"yes":true}`, "vars": `edge_relay_handled{category="read",outcome="passed"}       7`,
+			"--output json vars": `"edge_relay_upstream_tries": 5`, "drain on": "yes\n",
+		} {
+			if out, err := call(t, b, append(strings.Fields(words), where...)...); err != nil || !strings.Contains(out, want) {
+				t.Errorf("%v %s: %v\n%s", where, words, err, out)
+			}
+		}
+		b.no = errors.New("not now: this process is leaving")
+		for words, want := range map[string]string{"check": "", "drain off": "", "--output json check": `"reason":"the replica says no: not now: this process is leaving"`} {
+			out, err := call(t, b, append(strings.Fields(words), where...)...)
+			if err == nil || !strings.Contains(err.Error(), "not now: this process is leaving") || !strings.Contains(out, want) {
+				t.Errorf("%v %s: %v\n%s", where, words, err, out)
+			}
+		}
+		if strings.Join(b.done, ", ") != "drain true" {
+			t.Errorf("%v: done %v", where, b.done)
+		}
+	}
+	if _, err := call(t, b, "check", "--door", "127.0.0.1:1"); err == nil || !strings.Contains(err.Error(), "is it running") {
+		t.Errorf("nobody there: %v", err)
+	}
+}
+
 func TestErrorsSayWhatToDo(t *testing.T) {
 	for words, want := range map[string]string{
 		"cert histroy site":           `did you mean "history"?`,
@@ -101,6 +158,8 @@
 		"cert revoke site --reason 7": "RFC 5280",
 		"cert revoke":                 "<name>",
 		"--output xml status":         "must be one of",
+		"drain":                       "<switch>",
+		"drain maybe":                 "must be one of",
 	} {
 		if _, err := call(t, new(box), strings.Fields(words)...); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v, want %s", words, err, want)
--- a/cmd/cairnsite/main.go
+++ b/cmd/cairnsite/main.go
@@ -16,7 +16,7 @@
 var cli struct {
 	Serve struct {
 		Config string `required:"" type:"existingfile" help:"The box's configuration, as in deploy/appliance.hcl."`
-	} `cmd:"" help:"Run the box until SIGTERM or 'cairnctl drain'."`
+	} `cmd:"" help:"Run the box until SIGTERM or 'cairnctl stop'."`
 	Check struct {
 		File string `arg:"" type:"existingfile" help:"A configuration."`
 	} `cmd:"" help:"Tell all that is wrong in a configuration, and change nothing."`
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -26,6 +26,7 @@
 	"cairnlane/internal/decide/renewal"
 	"cairnlane/internal/faultfs"
 	"cairnlane/internal/front"
+	"cairnlane/internal/operator"
 	"cairnlane/internal/state/keystore"
 )
 
@@ -206,8 +207,11 @@
 	return out
 }
 
-// Drain implements control.Daemon.
-func (s *state) Drain() { s.replica.Drain() }
+// Stop implements control.Daemon.
+func (s *state) Stop() { s.replica.Drain() }
+
+// Operator implements control.Daemon.
+func (s *state) Operator() operator.Replica { return s.replica.Operator() }
 
 // Certificates implements control.Daemon.
 func (s *state) Certificates() (list []certs.Status) {
--- a/internal/appliance/appliance_test.go
+++ b/internal/appliance/appliance_test.go
@@ -254,7 +254,15 @@
 	if err != nil || s.Draining || s.Counters["answers_served"] != 2 || s.Counters["tls_handshakes"] < 2 {
 		t.Errorf("status %+v, %v", s, err)
 	}
-	if err := b.ctl.Drain(); err != nil {
+	for _, call := range []string{"check", "drain-on", "check", "drain-off"} { // the calls of the platform's door
+		if _, err := b.ctl.Ask(call); err != nil {
+			t.Errorf("%s: %v", call, err)
+		}
+	}
+	if text, err := b.ctl.Ask("vars"); err != nil || !strings.Contains(text, "edge_relay_in_progress 0") {
+		t.Errorf("vars: %q, %v", text, err)
+	}
+	if err := b.ctl.Stop(); err != nil {
 		t.Fatal(err)
 	}
 	if got := ask(t, c, 0, 1); got != "goaway 0 0" {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,9 +14,11 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"cairnlane/internal/certs"
+	"cairnlane/internal/operator"
 	"cairnlane/internal/state/keystore"
 )
 
@@ -33,7 +35,8 @@
 // Daemon is what the socket shows and does.
 type Daemon interface {
 	Status() Status
-	Drain()
+	Operator() operator.Replica // as at the platform's door
+	Stop()                      // finish the work and end
 	Certificates() []certs.Status
 	History(name string) ([]keystore.Event, error)
 	Renew(name string) error
@@ -83,7 +86,10 @@
 func handler(d Daemon) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Status(), nil) })
-	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { d.Drain(); reply(w, struct{}{}, nil) })
+	mux.HandleFunc("POST /stop", func(w http.ResponseWriter, _ *http.Request) { d.Stop(); reply(w, struct{}{}, nil) })
+	mux.HandleFunc("POST /call/{call}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, string(operator.Answer(r.PathValue("call"), d.Operator())), nil)
+	})
 	mux.HandleFunc("GET /certificates", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Certificates(), nil) })
 	mux.HandleFunc("GET /certificates/{name}/history", func(w http.ResponseWriter, r *http.Request) {
 		list, err := d.History(r.PathValue("name"))
@@ -161,8 +167,17 @@
 // Status asks how the daemon stands.
 func (c *Client) Status() (s Status, err error) { return s, c.call("GET", "/status", nil, &s) }
 
-// Drain has it leave.
-func (c *Client) Drain() error { return c.call("POST", "/drain", nil, &struct{}{}) }
+// Stop has it finish its work and end.
+func (c *Client) Stop() error { return c.call("POST", "/stop", nil, &struct{}{}) }
+
+// Ask makes one of the calls of the platform's door.
+func (c *Client) Ask(call string) (string, error) {
+	var answer string
+	if err := c.call("POST", "/call/"+url.PathEscape(call), nil, &answer); err != nil {
+		return "", err
+	}
+	return operator.ReadAnswer(strings.NewReader(answer))
+}
 
 // Certificates lists the certificates.
 func (c *Client) Certificates() (l []certs.Status, err error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// Operator is the replica as operators call it.
+func (r *Replica) Operator() operator.Replica { return door{r.process} }
+
 // Leaving tells whether it drains.
 func (r *Replica) Leaving() bool {
 	s := r.process.state()
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -24,11 +26,20 @@
 	if _, err := fmt.Fprintf(c, "%s\n", call); err != nil {
 		return "", fmt.Errorf("call the replica at %s: %w", addr, err)
 	}
+	text, err := ReadAnswer(c)
+	if err != nil && !errors.Is(err, ErrNo) {
+		return "", fmt.Errorf("the replica at %s did not answer within %v: %w", addr, most, err)
+	}
+	return text, err
+}
+
+// ReadAnswer reads the answer to one call: the figures without their last line for vars, else nothing.
+func ReadAnswer(from io.Reader) (string, error) {
 	var text strings.Builder
-	for r := bufio.NewReader(c); ; {
+	for r := bufio.NewReader(from); ; {
 		line, err := r.ReadString('\n')
 		if err != nil {
-			return "", fmt.Errorf("the replica at %s did not answer within %v: %w", addr, most, err)
+			return "", err
 		}
 		switch {
 		case line == "--\n":
@@ -41,3 +52,22 @@
 		text.WriteString(line)
 	}
 }
+
+// Values gives the figures by their names as they stand in the text.
+func Values(text string) (map[string]int64, error) {
+	values := map[string]int64{}
+	for line := range strings.Lines(text) {
+		name, number, ok := strings.Cut(strings.TrimSuffix(line, "\n"), "} ")
+		if ok {
+			name += "}"
+		} else {
+			name, number, _ = strings.Cut(name, " ")
+		}
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("a figure that cannot be read: %q", line)
+		}
+		values[name] = n
+	}
+	return values, nil
+}
--- a/internal/operator/door_test.go
+++ b/internal/operator/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -114,3 +115,29 @@
 		}
 	}
 }
+
+func TestAskTellsWhatWentWrong(t *testing.T) {
+	d, _, _ := open(t)
+	text, err := Ask(d.Addr(), "vars", 20*time.Second)
+	values, bad := Values(text)
+	if err != nil || bad != nil || values["edge_relay_in_progress"] != 0 || len(values) != 2 {
+		t.Errorf("vars: %q, %v, %v, %v", text, err, values, bad)
+	}
+	if _, err := Ask(d.Addr(), "chek", 20*time.Second); !errors.Is(err, ErrNo) || !strings.Contains(err.Error(), "there are check") {
+		t.Errorf("a wrong call: %v", err)
+	}
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Ask(mute.Addr().String(), "check", time.Millisecond); err == nil || !strings.Contains(err.Error(), "did not answer within") {
+		t.Errorf("no answer: %v", err)
+	}
+	mute.Close()
+	if _, err := Ask(mute.Addr().String(), "check", time.Second); err == nil || !strings.Contains(err.Error(), "is it running") {
+		t.Errorf("nobody there: %v", err)
+	}
+	if _, err := Values("a x\n"); err == nil {
+		t.Error("a figure that is no number is taken")
+	}
+}
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -43,11 +43,11 @@
 	if at < 0 {
 		return fmt.Appendf(nil, "NAK a call of over %d bytes\n", lineMost)
 	}
-	return answer(string(bytes.TrimSpace(s.line[:at])), r)
+	return Answer(string(bytes.TrimSpace(s.line[:at])), r)
 }
 
-// answer carries out a call.
-func answer(call string, r Replica) []byte {
+// Answer carries out a call, for the door and for whatever else operators have to call a replica by.
+func Answer(call string, r Replica) []byte {
 	var err error
 	switch call {
 	case "check":
