Give up a link to the engine that goes silent, and take old gauges for busy cores

Change: a STAT that waits for 1 s with nothing heard ends the link, also while it is being taken up; HELLO is waited for without end. The replica's random plays, of one process and of two, check after each step that outcomes and requests in progress add up to the requests taken and that tries are the runs sent.

The race detector found the box of cairnctl's own test unguarded; mended.

--- a/cmd/cairnctl/main_test.go
+++ b/cmd/cairnctl/main_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,23 +25,48 @@
 
 // box is a daemon that answers from store and notes what it is asked to do.
 type box struct {
+	mu   sync.Mutex
 	done []string
 	no   error
 }
 
+func (b *box) did(format string, a ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done = append(b.done, fmt.Sprintf(format, a...))
+}
+
+// set changes what it answers, and forgets what it has done.
+func (b *box) set(no error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done, b.no = nil, no
+}
+
+func (b *box) all() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Join(b.done, ", ")
+}
+
 func (b *box) Status() control.Status {
 	return control.Status{Name: "box1", Listen: "127.0.0.1:7001", Counters: map[string]int64{"answers_served": 7}}
 }
-func (b *box) Stop()                      { b.done = append(b.done, "stop") }
+func (b *box) Stop()                      { b.did("stop") }
 func (b *box) Operator() operator.Replica { return b }
 
 // Ready, Drain and Figures make the box what the door speaks of.
-func (b *box) Ready() error { return b.no }
+func (b *box) Ready() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.no
+}
 func (b *box) Drain(on bool) error {
-	if b.no == nil {
-		b.done = append(b.done, fmt.Sprint("drain ", on))
+	err := b.Ready()
+	if err == nil {
+		b.did("drain %v", on)
 	}
-	return b.no
+	return err
 }
 func (b *box) Figures() replica.Figures {
 	return replica.Figures{Tries: 5, Classes: []replica.ClassFigures{{Name: "read", Served: 7}}}
@@ -54,9 +80,9 @@
 	}
 	return []keystore.Event{{At: time.Unix(1_764_576_000, 0).UTC(), What: "issued", Text: "by main"}}, nil
 }
-func (b *box) Renew(name string) error { b.done = append(b.done, "renew "+name); return nil }
+func (b *box) Renew(name string) error { b.did("renew %s", name); return nil }
 func (b *box) Revoke(_ context.Context, name string, reason int) error {
-	b.done = append(b.done, "revoke "+name+" "+strings.Repeat("i", reason))
+	b.did("revoke %s %s", name, strings.Repeat("i", reason))
 	return nil
 }
 
@@ -110,7 +136,7 @@
 			t.Errorf("%s: %v", words, err)
 		}
 	}
-	if got := strings.Join(b.done, ", "); got != "drain true, drain false, stop, renew site, revoke site iiii" {
+	if got := b.all(); got != "drain true, drain false, stop, renew site, revoke site iiii" {
 		t.Errorf("done: %s", got)
 	}
 }
@@ -126,7 +152,7 @@
 	go d.Serve()
 	defer d.Close()
 	for _, where := range [][]string{nil, {"--door", d.Addr()}} {
-		b.done, b.no = nil, nil
+		b.set(nil)
 		for words, want := range map[string]string{
 			"check": "yes\n", "--output json check": `{"yes":true}`, "vars": `edge_relay_handled{category="read",outcome="passed"}       7`,
 			"--output json vars": `"edge_relay_upstream_tries": 5`, "drain on": "yes\n",
@@ -135,15 +161,18 @@
 				t.Errorf("%v %s: %v\n%s", where, words, err, out)
 			}
 		}
-		b.no = errors.New("not now: this process is leaving")
+		if b.all() != "drain true" {
+			t.Errorf("%v: done %v", where, b.all())
+		}
+		b.set(errors.New("not now: this process is leaving"))
 		for words, want := range map[string]string{"check": "", "drain off": "", "--output json check": `"reason":"the replica says no: not now: this process is leaving"`} {
 			out, err := call(t, b, append(strings.Fields(words), where...)...)
 			if err == nil || !strings.Contains(err.Error(), "not now: this process is leaving") || !strings.Contains(out, want) {
 				t.Errorf("%v %s: %v\n%s", where, words, err, out)
 			}
 		}
-		if strings.Join(b.done, ", ") != "drain true" {
-			t.Errorf("%v: done %v", where, b.done)
+		if b.all() != "" {
+			t.Errorf("%v: done %v", where, b.all())
 		}
 	}
 	if _, err := call(t, b, "check", "--door", "127.0.0.1:1"); err == nil || !strings.Contains(err.Error(), "is it running") {
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -33,6 +33,7 @@
 	runs   *counters.Counter
 	lost   *counters.Counter
 	moves  *counters.Counter
+	quiet  *counters.Counter
 	moved  chan struct{} // the address is another one now
 	// retireTime is how long a link that is replaced may take to end by itself.
 	retireTime time.Duration
@@ -48,7 +49,8 @@
 // NewLink returns a link to addr that is not open yet.
 func NewLink(addr string, now func() time.Duration, set *counters.Set) *Link {
 	return &Link{addr: addr, now: now, moved: make(chan struct{}, 1), retireTime: retireTime, runs: set.Get("engine_runs_sent"),
-		lost: set.Get("engine_links_lost"), moves: set.Get("engine_links_moved")}
+		lost: set.Get("engine_links_lost"), moves: set.Get("engine_links_moved"),
+		quiet: set.Get("engine_links_silent")}
 }
 
 // Move has the link go on at addr. The present one is used until the new one is accepted.
@@ -116,7 +118,7 @@
 func (l *Link) begin(conn netpoll.Connection) *connection {
 	c := &connection{Connection: conn, broken: make(chan struct{})}
 	c.out = outbox.New(conn, outputBound, func(error) { conn.Close() })
-	c.sess = &session{memory: &l.mem, events: l.events, now: l.now, send: func(encode func([]byte) []byte) {
+	c.sess = &session{memory: &l.mem, events: l.events, now: l.now, giveUp: func() { go conn.Close() }, send: func(encode func([]byte) []byte) {
 		if c.out.Put(encode) != nil {
 			go conn.Close() // its callbacks take locks that the sender may hold
 		}
@@ -224,6 +226,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sess
+	if s != nil && s.state.Load() != retired && s.silent() {
+		l.quiet.Inc()
+		s.quiet.Store(0) // once is enough
+		s.giveUp()
+		return false
+	}
 	if s == nil || s.state.Load() != ready || s.asked.Load() >= statsOpen {
 		return false
 	}
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -134,3 +134,49 @@
 		t.Error("the new link takes no run")
 	}
 }
+
+// A link that stays open and tells nothing used to be kept for good, and runs with it.
+func TestALinkThatGoesSilentIsGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	e := &toldEvents{make(chan struct{}, 4), make(chan string, 4)}
+	clock := testkit.NewClock()
+	set := new(counters.Set)
+	l := NewLink(ln.Addr().String(), clock.Now, set)
+	go l.Keep(t.Context(), e)
+	c, r := accept(t, ln, 0)
+	clock.Advance(time.Minute) // the engine takes its time to say what was missed: the answer is still waited for
+	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
+	<-e.attached
+	if !l.AskGauges() {
+		t.Fatal("the gauges are not asked for")
+	}
+	expect(t, r, "STAT g2\r\n")
+	clock.Advance(quietMost)
+	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\n") // it says something, if not the gauges
+	<-e.done
+	if clock.Advance(quietMost); !l.AskGauges() {
+		t.Fatal("an engine that talks is given up")
+	}
+	expect(t, r, "STAT g3\r\n")
+	if clock.Advance(time.Millisecond); l.AskGauges() {
+		t.Error("a silent engine is asked once more")
+	}
+	if _, err := r.ReadByte(); err == nil {
+		t.Fatal("the silent link goes on")
+	}
+	c, r = accept(t, ln, 1) // and once more, before all that was missed has been told
+	clock.Advance(quietMost + time.Millisecond)
+	l.AskGauges()
+	if _, err := r.ReadByte(); err == nil {
+		t.Fatal("a link that goes silent as it is taken up goes on")
+	}
+	accept(t, ln, 1)
+	if n := set.Get("engine_links_silent").Load(); n != 2 {
+		t.Errorf("%d links were given up", n)
+	}
+	c.Close()
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -52,6 +52,19 @@
 	state  atomic.Int32
 	asked  atomic.Int32 // STATs that are open
 	tags   atomic.Int64
+	quiet  atomic.Int64 // since when a STAT waits and nothing is heard; 0 while none waits
+	giveUp func()       // ends the link
+}
+
+// quietMost is how long an engine that was asked for its gauges may say nothing at all. It is asked at every tick and
+// has little to do for the answer. A link that is open and silent for longer is given up: whatever hangs behind it,
+// a new link is told what was missed.
+const quietMost = time.Second
+
+// silent tells whether the link has gone silent. Before HELLO nothing is asked, so that an engine may start late.
+func (s *session) silent() bool {
+	since := s.quiet.Load()
+	return since != 0 && s.now()-time.Duration(since) > quietMost
 }
 
 func (s *session) begin() {
@@ -62,6 +75,9 @@
 // feed reads what has come in and tells events of it.
 func (s *session) feed(p []byte) error {
 	s.memory.heard = s.now()
+	if s.quiet.Load() != 0 {
+		s.quiet.Store(int64(s.memory.heard))
+	}
 	s.in = append(s.in, p...)
 	buf := s.in
 	for {
@@ -112,7 +128,9 @@
 }
 
 func (s *session) answered(tag string) {
-	s.asked.Add(-1)
+	if s.asked.Add(-1) <= 0 {
+		s.quiet.Store(0)
+	}
 	if tag == s.sync && s.state.Load() == attaching {
 		s.events.Attached(s.since, func() { s.state.CompareAndSwap(attaching, ready) })
 	}
@@ -120,7 +138,9 @@
 
 // stat asks for the gauges under a new tag.
 func (s *session) stat() string {
-	s.asked.Add(1)
+	if s.asked.Add(1) == 1 {
+		s.quiet.Store(int64(s.now()))
+	}
 	tag := "g" + strconv.FormatInt(s.tags.Add(1), 10)
 	s.send(func(dst []byte) []byte { return appendStat(dst, tag) })
 	return tag
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -227,7 +227,7 @@
 func (r *Replica) Gauges(values []float64) {
 	r.enter(func(now time.Duration) {
 		if r.cfg.OnCores < len(values) {
-			r.gauges.OnCores = values[r.cfg.OnCores]
+			r.gauges.OnCores, r.gauged = values[r.cfg.OnCores], now
 		}
 		if r.asking {
 			r.ticked(now)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -136,8 +136,9 @@
 	keys    keyTable
 	shared  shared
 	gauges  policy.Gauges
-	ticks   int  // ticks begun
-	asking  bool // the present tick waits for its gauges
+	gauged  time.Duration // when they came; 0 before the first
+	ticks   int           // ticks begun
+	asking  bool          // the present tick waits for its gauges
 	signal  Signal
 	healthy bool
 	oldest  time.Duration // no request that is read came longer ago
@@ -321,6 +322,9 @@
 func (r *Replica) ticked(now time.Duration) {
 	r.asking = false
 	r.keys.expire(now)
+	if r.gauged > 0 {
+		r.gauges.Age = now - r.gauged
+	}
 	r.call(func() { r.ctl.Tick(now, r.gauges) })
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -272,6 +272,9 @@
 		t.Errorf("still asking %v, gauges %+v", b.asking, b.gauges)
 	}
 	b.clock.Advance(15*ms + gaugeWait) // the second is not answered
+	if b.gauges.Age < 15*ms {
+		t.Errorf("gauges of the tick before have the age %v", b.gauges.Age)
+	}
 	if b.asked != 2 || b.asking {
 		t.Errorf("asked %d times, asking %v: the tick waits for an answer that does not come", b.asked, b.asking)
 	}
@@ -326,6 +329,7 @@
 				}
 			},
 			"": func(rt *rapid.T) {
+				b.addUp(rt)
 				for _, x := range b.tries {
 					if len(x.answers) == 0 && b.clock.Now() > x.due+60*ms {
 						b.faults = append(b.faults, x.txn+" has no answer")
@@ -339,6 +343,21 @@
 	})
 }
 
+// addUp checks that the figures add up to the requests taken, each counted once, and runs as often as RUN was first sent.
+func (b *bench) addUp(t interface{ Fatalf(string, ...any) }) {
+	f := b.Figures()
+	sum, runs := f.Open, map[string]bool{}
+	for _, c := range f.Classes {
+		sum += c.Served + c.Refused + c.Failed
+	}
+	for _, txn := range b.runs {
+		runs[txn] = true
+	}
+	if taken := b.count.read.Load(); sum != taken || f.Tries != int64(len(runs)) {
+		t.Fatalf("figures %+v, %d requests taken, %d runs", f, taken, len(runs))
+	}
+}
+
 func TestSettingsOfTheModuleAreChecked(t *testing.T) {
 	if _, err := New(Config{}, testkit.NewClock(), nil, new(counters.Set)); err == nil {
 		t.Error("no error without settings")
--- a/internal/replica/shared_test.go
+++ b/internal/replica/shared_test.go
@@ -320,6 +320,9 @@
 						x.b.faults = append(x.b.faults, fmt.Sprint(x.txn, " has no answer"))
 					}
 				}
+				for _, b := range []*bench{p.old, p.new} {
+					b.addUp(rt)
+				}
 				if f := p.faults(); len(f) > 0 || assert.Failures() != broken {
 					rt.Fatalf("faults %v, %d invariants broken", f, assert.Failures()-broken)
 				}
--- a/policy/api.go
+++ b/policy/api.go
@@ -126,7 +126,8 @@
 
 // Gauges are the server's own readings.
 type Gauges struct {
-	OnCores float64 // present demand for a core
+	OnCores float64       // present demand for a core
+	Age     time.Duration // how old they are
 }
 
 // Advice goes out with a refusal.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -920,6 +920,9 @@
 	c.begin(now)
 	dt := now - c.ticked
 	c.ticked = now
+	if g.Age > c.referenceDelay { // nobody knows: taken for busy, so that the pool does not climb
+		g.OnCores = float64(c.cfg.Cores)
+	}
 	c.onCores += (min(g.OnCores, float64(c.cfg.Cores)) - c.onCores) / gaugeTicks
 	c.answerDue()
 	c.expireKeys()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -167,6 +167,24 @@
 	}
 }
 
+// Idle cores in a gauge that is old used to let the pool climb for as long as the link was down.
+func TestOldGaugesAreNotBelieved(t *testing.T) {
+	cfg := testConfig()
+	cfg.MemoryKB = 1e6
+	for _, age := range []time.Duration{0, time.Minute} {
+		c, _ := start(t, cfg)
+		for id := RequestID(1); id <= 40; id++ {
+			c.Arrive(0, Request{ID: id, KB: 10})
+		}
+		for now := 25 * ms; now < 30*time.Second; now += 25 * ms {
+			c.Tick(now, Gauges{Age: age})
+		}
+		if climbed := c.pool > cfg.Cores+1; climbed != (age == 0) {
+			t.Errorf("gauges %v old: a pool of %d for %d cores", age, c.pool, cfg.Cores)
+		}
+	}
+}
+
 // Two processes of one server each used to run as many as it survives.
 func TestAShareBoundsWhatRuns(t *testing.T) {
 	cfg := testConfig()
