--- a/internal/decide/conns/ending.go
+++ b/internal/decide/conns/ending.go
@@ -16,7 +16,7 @@
 	None    Reason = iota
 	Evicted        // the table is full and this one is missed least
 	Idle           // it has carried nothing for too long
-	Overdue        // its first good call, or the rest of a frame, is later than CallTime
+	Overdue        // its first good call, or the rest of a frame, is late (see Stay)
 	Exit           // the process ends
 	Garbage        // it sent what cannot be read
 	Deaf           // it does not read its answers, and the bound on them is reached
@@ -33,9 +33,6 @@
 func (r Reason) String() string { return names[r] }
 
 const (
-	// CallTime is how long a client may take to its first good call, and to finish a frame that it has begun.
-	// Routers open a connection when they need it.
-	CallTime = 2 * time.Second
 	// answerTime bounds how long a peer that sent garbage is kept for the answers to what it sent before.
 	// Such a client is owed an end within 3 s of connecting.
 	answerTime = time.Second
--- a/internal/decide/conns/table.go
+++ b/internal/decide/conns/table.go
@@ -13,6 +13,7 @@
 	Silent  Kind = iota // no good call yet
 	Checker             // health checks alone
 	Caller              // requests
+	Writing             // any, and a frame is begun and not whole: it is none of the others until that has ended
 	kinds
 )
 
@@ -68,7 +69,7 @@
 }
 
 // Len tells how many connections are held.
-func (t *Table) Len() int { return t.n[Silent] + t.n[Checker] + t.n[Caller] }
+func (t *Table) Len() int { return t.n[Silent] + t.n[Checker] + t.n[Caller] + t.n[Writing] }
 
 // SetMost changes how many may be held. It closes nothing: what is over it has to be looked at.
 func (t *Table) SetMost(most int) { t.limits.Most, t.limits.Silent = most, most/silentPart }
@@ -112,16 +113,29 @@
 // Victims yields the connections that may make room, the least missed first; the caller ends one of them or
 // none. Those that are in use, or were a moment ago, are passed over: the newcomer is then turned away, of whom
 // nothing was run. The order is: silent ones that had their time; fresh silent ones over their share; then
-// health checkers and callers that are idle; last the silent ones that came only now. Before this order a
-// newcomer that had not been read yet was the first to go as soon as all others had carried one call.
+// health checkers and callers that are idle; the silent ones that came only now; last those that are writing a frame,
+// by their last byte. Before this order a newcomer that had not been read yet was the first to go as soon as all
+// others had carried one call, and who took long to write a request went with the silent.
 func (t *Table) Victims(now time.Duration, use func(*Conn) Use) iter.Seq[*Conn] {
 	return func(yield func(*Conn) bool) {
 		old := now - t.limits.Fresh
 		over := func(last time.Duration) bool { return last <= old || t.n[Silent] > t.limits.Silent }
 		idle := func(last time.Duration) bool { return last <= old }
 		any := func(time.Duration) bool { return true }
+		t.refile(Writing, use)
 		_ = t.walk(Silent, use, over, yield) && t.walk(Checker, use, idle, yield) &&
-			t.walk(Caller, use, idle, yield) && t.walk(Silent, use, any, yield)
+			t.walk(Caller, use, idle, yield) && t.walk(Silent, use, any, yield) && t.walk(Writing, use, any, yield)
+	}
+}
+
+// refile files those of one list anew that are of another kind by now.
+func (t *Table) refile(k Kind, use func(*Conn) Use) {
+	for n, c := t.n[k], t.lists[k].next; n > 0 && c != &t.lists[k]; n-- {
+		next := c.next
+		if u := use(c); u.Kind != c.kind {
+			t.file(c, u)
+		}
+		c = next
 	}
 }
 
--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -364,6 +364,26 @@
 	}
 }
 
+// TestARequestHalfWrittenSurvivesACrowd writes half a request, has a crowd fill the table many times over for 2 s, and
+// writes the rest. It used to go with the silent ones.
+func TestARequestHalfWrittenSurvivesACrowd(t *testing.T) {
+	st := newStage(t, 16)
+	slow, whole := st.dial(t), message("isWell", 1, nil, "")
+	slow.Write(whole[:len(whole)/2])
+	for st.count.bytesIn.Load() < int64(len(whole)/2) {
+		time.Sleep(time.Millisecond)
+	}
+	for range 200 {
+		st.dial(t)
+		st.clock.Advance(10 * time.Millisecond)
+	}
+	st.sweep(false)
+	slow.Write(whole[len(whole)/2:])
+	if _, ok := receive(t, slow); !ok {
+		t.Error("a request that took 2 s to write is lost")
+	}
+}
+
 // peer is a router's side of one connection in random steps.
 type peer struct {
 	net.Conn
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -212,24 +212,21 @@
 func (s *session) use() conns.Use {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return conns.Use{Kind: s.kind, Last: s.used, Busy: s.open > 0 || s.feeding}
+	kind := s.kind
+	if s.partial > 0 {
+		kind = conns.Writing
+	}
+	return conns.Use{Kind: kind, Last: s.used, Busy: s.open > 0 || s.feeding}
 }
 
 // due tells whether the connection has lasted longer than it may for what it carries, and why.
 func (s *session) due(closeIdle time.Duration) conns.Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	switch {
-	case s.ending.State() != conns.Serving:
+	if s.ending.State() != conns.Serving {
 		return s.ending.Reason()
-	case s.open > 0 || s.feeding:
-	case s.kind == conns.Silent && now-s.began >= conns.CallTime, s.partial > 0 && now-s.partial >= conns.CallTime:
-		return conns.Overdue
-	case closeIdle > 0 && now-s.used >= closeIdle:
-		return conns.Idle
 	}
-	return conns.None
+	return conns.Stay{Kind: s.kind, Began: s.began, Used: s.used, Frame: s.partial, Busy: s.open > 0 || s.feeding}.Due(s.now(), closeIdle)
 }
 
 // view completes what was seen of the connection outside of the session; s.mu is held since before that.
