--- a/internal/handover/replace/process.go
+++ b/internal/handover/replace/process.go
@@ -21,6 +21,7 @@
 // process is one process of the replica.
 type process struct {
 	cmd    *exec.Cmd
+	path   string // of its configuration
 	door   string
 	engine *engine.Address
 	out    *output
@@ -75,8 +76,8 @@
 		return nil, err
 	}
 	w.n++
-	path := filepath.Join(w.cfg.Dir, fmt.Sprintf("config-%d.json", w.n))
-	if err := w.configure(path, p); err != nil {
+	p.path = filepath.Join(w.cfg.Dir, fmt.Sprintf("config-%d.json", w.n))
+	if err := w.configure(p); err != nil {
 		return nil, err
 	}
 	tmp := filepath.Join(w.cfg.Dir, "tmp")
@@ -89,7 +90,7 @@
 	}
 	defer f.Close()
 	p.cmd = exec.Command(w.cfg.Command[0], w.cfg.Command[1:]...)
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_CONTROL="+p.door, "RELAY_INHERITED_FD=3", "TMPDIR="+tmp)
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_CONTROL="+p.door, "RELAY_INHERITED_FD=3", "TMPDIR="+tmp)
 	p.cmd.ExtraFiles = []*os.File{f}
 	p.cmd.Stderr = p.out
 	if err := p.cmd.Start(); err != nil {
@@ -115,7 +116,7 @@
 }
 
 // configure writes a process's configuration: the site's, with deadlines that let a trial be short.
-func (w *world) configure(path string, p *process) error {
+func (w *world) configure(p *process) error {
 	raw, err := os.ReadFile(w.cfg.Site)
 	if err != nil {
 		return err
@@ -137,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, raw, 0o600)
+	return os.WriteFile(p.path, raw, 0o600)
 }
 
 // ask calls a process's door.
--- a/internal/handover/replace/replace.go
+++ b/internal/handover/replace/replace.go
@@ -73,6 +73,9 @@
 	txns    atomic.Uint64
 	bodies  sync.Map // of keyed requests
 	slots   chan struct{}
+	began   time.Time
+	drained atomic.Bool // by the operator: health is to be bad
+	pause   atomic.Bool // a drain begins or ends: health may be either
 
 	mu    sync.Mutex
 	alive []*process
@@ -89,8 +92,25 @@
 
 // Run plays a trial.
 func Run(cfg Config) (*Figures, error) {
-	began := time.Now()
-	w := &world{cfg: cfg, fig: &Figures{Limit: cfg.Sockets}, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), slots: make(chan struct{}, 48)}
+	w, err := begin(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defer w.end()
+	for range cfg.Replacements {
+		if err := w.replace(); err != nil {
+			return nil, err
+		}
+		if cfg.Progress != nil && w.fig.Replacements%20 == 0 {
+			fmt.Fprintf(cfg.Progress, "%d replacements, %d kills, %d requests\n", w.fig.Replacements, w.fig.Kills, atomic.LoadInt64(&w.fig.Requests))
+		}
+	}
+	return w.finish(), nil
+}
+
+// begin starts the surroundings, the first process and the load. Whoever has begun a world ends it.
+func begin(cfg Config) (*world, error) {
+	w := &world{cfg: cfg, fig: &Figures{Limit: cfg.Sockets}, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), slots: make(chan struct{}, 48), began: time.Now()}
 	work := rand.New(rand.NewPCG(cfg.Seed, 2))
 	var workMu sync.Mutex
 	w.engine = engine.New(func(string) time.Duration {
@@ -98,51 +118,45 @@
 		defer workMu.Unlock()
 		return time.Duration(3+work.ExpFloat64()*15) * time.Millisecond
 	})
-	var err error
-	if w.catalog, err = catalog.Start(); err != nil {
-		return nil, err
-	}
-	defer w.catalog.Close()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	defer ln.Close()
 	w.ln = ln.(*net.TCPListener)
+	if w.catalog, err = catalog.Start(); err != nil {
+		ln.Close()
+		return nil, err
+	}
 	for i := range 4 {
 		w.routers = append(w.routers, &router.Router{Addr: ln.Addr().String(), Number: i, Twice: func(seq int32) {
 			atomic.AddInt64(&w.fig.EndedTwice, 1)
 			w.fig.note("an answer to call %d that nobody waits for", seq)
 		}})
 	}
-	defer w.end()
 	first, err := w.start()
+	if err == nil && !w.ready(first) {
+		err = fmt.Errorf("the first process does not take clients: %s", first.log())
+	}
 	if err != nil {
+		w.end()
 		return nil, err
 	}
-	if !w.ready(first) {
-		return nil, fmt.Errorf("the first process does not take clients: %s", first.log())
-	}
+	w.wait.Add(len(w.routers) + 2)
 	for i := range w.routers {
-		w.wait.Add(1)
 		go w.load(i)
 	}
-	w.wait.Add(2)
 	go w.health()
 	go w.watch()
-	for range cfg.Replacements {
-		if err := w.replace(); err != nil {
-			return nil, err
-		}
-		if cfg.Progress != nil && w.fig.Replacements%20 == 0 {
-			fmt.Fprintf(cfg.Progress, "%d replacements, %d kills, %d requests\n", w.fig.Replacements, w.fig.Kills, atomic.LoadInt64(&w.fig.Requests))
-		}
-	}
+	return w, nil
+}
+
+// finish ends the load and returns what the trial came to.
+func (w *world) finish() *Figures {
 	w.stop.Store(true)
 	w.wait.Wait()
 	w.settle()
-	w.fig.Took = time.Since(began)
-	return w.fig, nil
+	w.fig.Took = time.Since(w.began)
+	return w.fig
 }
 
 // end kills what is left and closes the routers.
@@ -157,6 +171,8 @@
 	for _, r := range w.routers {
 		r.Close()
 	}
+	w.catalog.Close()
+	w.ln.Close()
 }
 
 // settle compares the last process's figures with each other and counts the runs of every keyed request.
@@ -268,13 +284,17 @@
 func (w *world) health() {
 	defer w.wait.Done()
 	for !w.stop.Load() {
-		kills := w.kills.Load()
+		if w.pause.Load() {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		kills, drained := w.kills.Load(), w.drained.Load()
 		good, err := router.Check(w.ln.Addr().String(), time.Second)
-		if kills == w.kills.Load() {
+		if kills == w.kills.Load() && drained == w.drained.Load() && !w.pause.Load() {
 			atomic.AddInt64(&w.fig.Checks, 1)
-			if err != nil || !good {
+			if err != nil || good == drained {
 				atomic.AddInt64(&w.fig.HealthGaps, 1)
-				w.fig.note("health: good %v, %v", good, err)
+				w.fig.note("health: good %v in a drain %v, %v", good, drained, err)
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -52,7 +52,11 @@
 type Address struct {
 	engine *Engine
 	ln     net.Listener
+	*book
+}
 
+// book is what an address knows of its runs and has told.
+type book struct {
 	mu      sync.Mutex
 	last    int64
 	notices []string // the last ones, up to number last
@@ -67,7 +71,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in engine: %w", err)
 	}
-	a := &Address{engine: e, ln: ln, begun: map[string]bool{}}
+	a := &Address{engine: e, ln: ln, book: &book{begun: map[string]bool{}}}
+	go a.accept()
+	return a, nil
+}
+
+// Move opens an address in place of another one, as in a new configuration: runs and the numbers of notices go on there.
+// The old one accepts nothing new, and its link is closed when the new one is attached to.
+func (e *Engine) Move(old *Address) (*Address, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in engine: %w", err)
+	}
+	old.ln.Close()
+	a := &Address{engine: e, ln: ln, book: old.book}
 	go a.accept()
 	return a, nil
 }
