--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,11 +17,11 @@
 	"cairnlane/internal/catalog"
 	"cairnlane/internal/clock"
 	"cairnlane/internal/counters"
-	told "cairnlane/internal/decide/handover"
+	"cairnlane/internal/decide/handover"
 	"cairnlane/internal/decide/lifecycle"
 	"cairnlane/internal/engine"
 	"cairnlane/internal/front"
-	"cairnlane/internal/handover"
+	link "cairnlane/internal/handover"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/settings"
@@ -116,20 +116,20 @@
 		go d.Serve()
 		go d.Sweep(ctx)
 	}
-	past := handover.Fresh
+	past := link.Fresh
 	if cfg.Inherited > 0 {
-		if p.peer, past, err = handover.Open(os.TempDir()); err != nil {
+		if p.peer, past, err = link.Open(os.TempDir()); err != nil {
 			return err
 		}
 	}
 	switch past {
-	case handover.Follows:
+	case link.Follows:
 		p.mu.Lock() // the door may be asked already
 		p.life.Waits = true
 		p.mu.Unlock()
 		p.Follow()
 		p.split.follow()
-	case handover.Died: // its saves may come again, and what it ran is not known
+	case link.Died: // its saves may come again, and what it ran is not known
 		log.Print("the last process here has died; saves that it may have run fail until they can no longer come again")
 		p.Replica.TookOver(false)
 	}
@@ -137,7 +137,7 @@
 	if p.peer != nil {
 		go p.peer.Keep(ctx, past, neighbour{p})
 	}
-	if past != handover.Follows {
+	if past != link.Follows {
 		p.take(lifecycle.Inherited)
 	}
 	go server.Sweep(ctx)
@@ -160,7 +160,7 @@
 			failed = nil
 		case effect := <-p.effects:
 			if effect&lifecycle.Announce != 0 {
-				p.peer.Send(&told.Message{Kind: told.Ready})
+				p.peer.Send(&handover.Message{Kind: handover.Ready})
 			}
 			if effect&lifecycle.Accept != 0 {
 				go func() { failed <- server.Serve() }()
