--- a/internal/handover/replace/replace_test.go
+++ b/internal/handover/replace/replace_test.go
@@ -1,15 +1,24 @@
 package replace
 
 import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
 	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"cairnlane/internal/daemon"
+	"cairnlane/internal/operator"
 	"cairnlane/internal/settings"
+	"cairnlane/internal/thrift"
 )
 
 // TestMain is the replica's process when the trial starts this binary again.
@@ -102,6 +111,88 @@
 	}
 }
 
+// TestTheDoorAnswersUnderOverload has routers flood a process of one core, silent callers and callers of half a line hold
+// the door, and an operator call all the while.
+func TestTheDoorAnswersUnderOverload(t *testing.T) {
+	w, err := begin(Config{Seed: 3, Command: []string{os.Args[0]}, Site: site, Dir: t.TempDir(), Sockets: 256})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.end()
+	p := w.alive[0]
+	var stop atomic.Bool
+	var floods sync.WaitGroup
+	for range 16 {
+		c, err := net.Dial("tcp", w.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		floods.Go(func() {
+			for seq := int32(1); !stop.Load(); { // health checks, as many at once as a router may have open
+				var batch []byte
+				for range 32 {
+					batch = thrift.AppendFrame(batch, func(b []byte) []byte {
+						return thrift.AppendStop(thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: "isWell", Seq: seq}))
+					})
+					seq++
+				}
+				if _, err := c.Write(batch); err != nil {
+					return
+				}
+				for range 32 {
+					var head [4]byte
+					if _, err := io.ReadFull(c, head[:]); err != nil {
+						return
+					}
+					if _, err := io.CopyN(io.Discard, c, int64(binary.BigEndian.Uint32(head[:]))); err != nil {
+						return
+					}
+				}
+			}
+		})
+	}
+	for i := range 3 * operator.Most {
+		c, err := net.Dial("tcp", p.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "va")
+		}
+	}
+	before := cpu(t, p)
+	began := time.Now()
+	for range 100 {
+		if _, err := w.ask(p, "vars"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	busy := float64(cpu(t, p)-before) / float64(time.Since(began))
+	stop.Store(true)
+	floods.Wait()
+	w.finish()
+	t.Logf("figures: worst_door_ms=%.1f cores_busy=%.2f", float64(w.fig.DoorMost.Microseconds())/1e3, busy)
+	if w.fig.DoorMost >= doorTime {
+		t.Errorf("an answer took %v", w.fig.DoorMost)
+	}
+}
+
+// cpu tells the processor time of a process.
+func cpu(t *testing.T, p *process) time.Duration {
+	t.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // TestReplacementsUnderLoad is the short form of `make replace`.
 func TestReplacementsUnderLoad(t *testing.T) {
 	f, err := Run(Config{Seed: 1, Replacements: 12, Command: []string{os.Args[0]}, Site: site, Dir: t.TempDir(), Sockets: 256})
