Log the address at which operators may call

Need: tried from the pages alone, as a new user would: check, vars, drain on and off, JSON, nc and wrong calls all did as the pages say, but nothing told where the door of a running replica is when RELAY_CONTROL is not at hand.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,6 +115,7 @@
 		}
 		go d.Serve()
 		go d.Sweep(ctx)
+		log.Printf("operators may call at %s", d.Addr())
 	}
 	past := link.Fresh
 	if cfg.Inherited > 0 {
