--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -13,7 +13,6 @@
 
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/logging"
-	"cairnlane/internal/settings"
 )
 
 func main() {
@@ -21,15 +20,7 @@
 		fail(appliance(os.Args))
 	}
 	logging.Start(os.Stderr, logging.Config{})
-	path := os.Getenv("RELAY_CONFIG")
-	cfg, err := settings.Load(path)
-	if err == nil {
-		err = cfg.Environment(os.Getenv)
-	}
-	if err == nil {
-		err = daemon.Run(path, cfg, nil, nil)
-	}
-	fail(err)
+	fail(daemon.Platform())
 }
 
 func fail(err error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,9 +34,6 @@
 	exitBefore   = 60 * time.Millisecond
 	killBefore   = 10 * time.Millisecond // what is not quiet by then is not waited for
 	drainPoll    = 5 * time.Millisecond
-	// In a hand-over the kill comes after the longest deadline, at most handOverMost, and handOverRest.
-	handOverMost = 3 * time.Second
-	handOverRest = 700 * time.Millisecond
 )
 
 // Front is what a replica may have beside its plain listener.
@@ -106,7 +103,7 @@
 	if server, err = listen(cfg, p, clk, set); err != nil {
 		return err
 	}
-	p.split = split{limits: cfg.Limits, server: server, replica: p.Replica}
+	p.split = newSplit(cfg.Limits, server, p.Replica)
 	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
 		d, err := operator.Listen(cfg.Control, door{p}, clk.Now, set)
@@ -119,7 +116,7 @@
 	}
 	past := link.Fresh
 	if cfg.Inherited > 0 {
-		if p.peer, past, err = link.Open(os.TempDir()); err != nil {
+		if p.peer, past, err = link.Open(cfg.Folder); err != nil {
 			return err
 		}
 	}
@@ -214,13 +211,26 @@
 	}
 }
 
+// Platform runs the platform's replica as its environment tells, to the end. It only returns an error.
+func Platform() error {
+	path := os.Getenv("RELAY_CONFIG")
+	cfg, err := settings.Load(path)
+	if err == nil {
+		err = cfg.Environment(os.Getenv)
+	}
+	if err != nil {
+		return err
+	}
+	return Run(path, cfg, nil, nil)
+}
+
 // listen takes the platform's listening socket, or opens one.
 func listen(cfg *settings.Replica, core front.Core, clk *clock.System, set *counters.Set) (*front.Server, error) {
-	most := mostConnections(cfg.Limits.Sockets, 1)
+	plan := connections(cfg.Limits)
 	if cfg.Inherited > 0 {
-		return front.Inherit(cfg.Inherited, most, core, clk.Now, set)
+		return front.Inherit(cfg.Inherited, plan.Alone(), core, clk.Now, set)
 	}
-	return front.Listen(cfg.Listen, most, core, clk.Now, set)
+	return front.Listen(cfg.Listen, plan.Alone(), core, clk.Now, set)
 }
 
 // leave drains: work goes on through the grace, then routers are asked to go, and the process ends as
@@ -243,7 +253,7 @@
 	for _, c := range cfg.Policy.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	stopAt := clk.Now() + min(longest, handOverMost) + handOverRest
+	stopAt := clk.Now() + lifecycle.HandOverTime(longest)
 	rep.StopAt(stopAt)
 	server.HandOver()
 	end(clk, rep, server, stopAt)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -17,7 +17,7 @@
 type process struct {
 	*replica.Replica
 	peer    *link.Link // nil where no replacement is possible
-	split   split      // of the limits, with the other process
+	split   *split     // of the limits, with the other process
 	effects chan lifecycle.Effect
 
 	mu   sync.Mutex // guards life; nothing is called under it
--- a/internal/daemon/split.go
+++ b/internal/daemon/split.go
@@ -11,20 +11,34 @@
 	"cairnlane/internal/settings"
 )
 
+// half is each process's share of memory and pool.
+const half = 0.5
+
 // sharePeriod is how often the older process tells the newer one what it has freed since.
 const sharePeriod = 100 * time.Millisecond
 
 // split keeps the two processes of a replacement within the limits of one: from the moment at which the new one is about
 // to take clients until one of them has ended, each has half. The older one frees what is over its half as it becomes
 // quiet, and leaves the rest to the newer one.
+//
+// What each may hold is decided by handover.Split; this carries it out.
 type split struct {
 	limits  settings.Limits
 	server  *front.Server
 	replica *replica.Replica
 
-	mu    sync.Mutex
-	stop  chan struct{} // ends the telling; nil while this process is alone
-	given int           // connections that the newer process was told it may hold
+	mu   sync.Mutex
+	plan handover.Split
+	stop chan struct{} // ends the telling; nil while this process is alone
+}
+
+func newSplit(l settings.Limits, s *front.Server, r *replica.Replica) *split {
+	return &split{limits: l, server: s, replica: r, plan: connections(l)}
+}
+
+// connections is the plan of a process that is alone.
+func connections(l settings.Limits) handover.Split {
+	return handover.Split{Sockets: l.Sockets, Spare: spareSockets}
 }
 
 // alone gives this process all.
@@ -36,7 +50,7 @@
 		s.stop = nil
 	}
 	s.bound(1)
-	s.server.SetMost(mostConnections(s.limits.Sockets, 1))
+	s.server.SetMost(s.plan.Alone())
 }
 
 // bound sets what is no connection.
@@ -45,15 +59,10 @@
 	s.replica.Share(share)
 }
 
-// mostConnections is what so many processes together may hold, beside the descriptors that each needs for itself.
-func mostConnections(sockets, processes int) int {
-	return max(sockets-processes*spareSockets, processes)
-}
-
 // follow bounds a process that is to replace another one. It is told how many connections are its.
 func (s *split) follow() {
-	s.bound(0.5)
-	s.server.SetMost(1)
+	s.bound(half)
+	s.server.SetMost(s.plan.Waiting())
 }
 
 // told takes the older process's word on how many connections are this one's.
@@ -63,8 +72,8 @@
 func (s *split) halve(send func(*handover.Message)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bound(0.5)
-	s.given = 0
+	s.bound(half)
+	s.plan.Begin()
 	s.tell(send)
 	if s.stop != nil { // its link was taken up anew
 		close(s.stop)
@@ -75,11 +84,8 @@
 
 // tell tells how many connections are the successor's, if they are more than before.
 func (s *split) tell(send func(*handover.Message)) {
-	all := mostConnections(s.limits.Sockets, 2)
-	left := s.server.SetMost(all / 2)
-	if n := all - max(left, all/2); n > s.given || s.given == 0 {
-		s.given = max(n, 1)
-		send(&handover.Message{Kind: handover.Share, N: int64(s.given)})
+	if n, changed := s.plan.Give(s.server.SetMost(s.plan.Half())); changed {
+		send(&handover.Message{Kind: handover.Share, N: int64(n)})
 	}
 }
 
--- a/internal/daemon/split_test.go
+++ b/internal/daemon/split_test.go
@@ -29,36 +29,38 @@
 	}
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	limits := settings.Limits{Cores: 1, MemoryMB: 64, Sockets: 160}
+	plan := connections(limits)
+	alone := plan.Alone()
 	clk, set := clock.NewSystem(), new(counters.Set)
 	rep, err := replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores, ResultBytes: 1 << 20, Replaceable: true}, clk, idle{}, set)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := front.Listen("127.0.0.1:0", mostConnections(limits.Sockets, 1), rep, clk.Now, set)
+	server, err := front.Listen("127.0.0.1:0", alone, rep, clk.Now, set)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go server.Serve()
-	for range mostConnections(limits.Sockets, 1) {
+	for range alone {
 		c, err := net.Dial("tcp", server.Addr())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
 	}
-	for end := time.Now().Add(20 * time.Second); server.Connections() < mostConnections(limits.Sockets, 1); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); server.Connections() < alone; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("%d connections are held", server.Connections())
 		}
 	}
-	s := &split{limits: limits, server: server, replica: rep}
+	s := newSplit(limits, server, rep)
 	given := make(chan int, 100)
 	s.halve(func(m *handover.Message) {
 		if m.Kind == handover.Share {
 			given <- int(m.N)
 		}
 	})
-	all := mostConnections(limits.Sockets, 2)
+	all := 2 * plan.Half()
 	for end := time.After(20 * time.Second); ; {
 		select {
 		case n := <-given:
--- a/internal/decide/lifecycle/lifecycle.go
+++ b/internal/decide/lifecycle/lifecycle.go
@@ -10,6 +10,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // State is what the process is.
@@ -58,6 +59,17 @@
 	EndEmpty                      // the process ends as soon as nothing is owed
 )
 
+const (
+	handOverMost = 3 * time.Second
+	handOverRest = 700 * time.Millisecond
+)
+
+// HandOverTime is how long after the notice to leave a process that hands over is killed: the longest deadline, taken as
+// 3 s if it is longer, and a rest.
+func HandOverTime(longest time.Duration) time.Duration {
+	return min(longest, handOverMost) + handOverRest
+}
+
 // ErrNotNow is wrapped by what is said of a call that cannot be carried out.
 var ErrNotNow = errors.New("not now")
 
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -103,11 +103,14 @@
 	return l, Fresh, nil
 }
 
-// End says that this process ends in order and leaves nobody behind: whoever starts next has nothing to doubt.
+// End says that this process ends in order: whoever starts next has nothing to doubt. A guest that is there takes over,
+// and reads from the mark whether it was told all.
 func (l *Link) End() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setMark(inOrder)
+	if l.conn == nil {
+		l.setMark(inOrder)
+	}
 }
 
 // tryLock tries to own the claims. One who was not told all leaves them to one who was, unless sure.
--- a/internal/handover/replace/replace_test.go
+++ b/internal/handover/replace/replace_test.go
@@ -17,7 +17,6 @@
 
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/operator"
-	"cairnlane/internal/settings"
 	"cairnlane/internal/thrift"
 )
 
@@ -26,15 +25,7 @@
 	if os.Getenv("RELAY_INHERITED_FD") == "" {
 		os.Exit(m.Run())
 	}
-	path := os.Getenv("RELAY_CONFIG")
-	cfg, err := settings.Load(path)
-	if err == nil {
-		err = cfg.Environment(os.Getenv)
-	}
-	if err == nil {
-		err = daemon.Run(path, cfg, nil, nil)
-	}
-	os.Stderr.WriteString(err.Error())
+	os.Stderr.WriteString(daemon.Platform().Error())
 	os.Exit(1)
 }
 
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -26,6 +26,7 @@
 	OnCores                         int    // the place of that gauge among the engine's gauges
 	Control                         string // the operators' address; empty where there is none
 	Inherited                       int    // descriptor of the listening socket; 0 if the process opens its own
+	Folder                          string // that both processes of a replacement share; empty where none is possible
 }
 
 // Limits belong to the program.
@@ -74,6 +75,9 @@
 		if err != nil || n < firstInherited {
 			return fmt.Errorf("RELAY_INHERITED_FD must be the number of a descriptor, %d or above, is %q", firstInherited, fd)
 		}
+		if r.Folder = get("TMPDIR"); r.Folder == "" {
+			return errors.New("TMPDIR is not set; with RELAY_INHERITED_FD it names the folder that both processes of a replacement share")
+		}
 		r.Inherited = n
 	}
 	return nil
@@ -88,7 +92,7 @@
 		return nil, err
 	}
 	next.Seed, next.Policy.Seed = r.Seed, r.Policy.Seed
-	next.Control, next.Inherited = r.Control, r.Inherited
+	next.Control, next.Inherited, next.Folder = r.Control, r.Inherited, r.Folder
 	if next.Name != r.Name || next.Listen != r.Listen {
 		return nil, fmt.Errorf("configuration: %s at %s cannot become %s at %s without a restart", r.Name, r.Listen, next.Name, next.Listen)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -91,3 +91,39 @@
 		}
 	}
 }
+
+func TestTheEnvironmentGoesBeforeTheFile(t *testing.T) {
+	raw := strings.Replace(read(t), `"name": "n0"`, `"control": "127.0.0.1:9000", "name": "n0"`, 1)
+	for _, c := range []struct {
+		env     map[string]string
+		control string
+		fd      int
+		err     string
+	}{
+		{nil, "127.0.0.1:9000", 0, ""},
+		{map[string]string{"RELAY_CONTROL": "127.0.0.1:9001"}, "127.0.0.1:9001", 0, ""},
+		{map[string]string{"RELAY_INHERITED_FD": "3", "TMPDIR": "/t"}, "127.0.0.1:9000", 3, ""},
+		{map[string]string{"RELAY_CONTROL": "here"}, "", 0, "RELAY_CONTROL must be host:port"},
+		{map[string]string{"RELAY_INHERITED_FD": "2", "TMPDIR": "/t"}, "", 0, "RELAY_INHERITED_FD must be the number of a descriptor"},
+		{map[string]string{"RELAY_INHERITED_FD": "x", "TMPDIR": "/t"}, "", 0, "RELAY_INHERITED_FD must be the number of a descriptor"},
+		{map[string]string{"RELAY_INHERITED_FD": "3"}, "", 0, "TMPDIR is not set"},
+	} {
+		r, err := parse([]byte(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = r.Environment(func(name string) string { return c.env[name] })
+		if c.err != "" {
+			if err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("%v: %v, want %s", c.env, err, c.err)
+			}
+			continue
+		}
+		if err != nil || r.Control != c.control || r.Inherited != c.fd || r.Folder != c.env["TMPDIR"] {
+			t.Errorf("%v: %v, control %s, descriptor %d, folder %s", c.env, err, r.Control, r.Inherited, r.Folder)
+		}
+	}
+	if _, err := parse([]byte(strings.Replace(raw, "127.0.0.1:9000", "9000", 1))); err == nil || !strings.Contains(err.Error(), `"control" must be host:port`) {
+		t.Errorf("a bad control: %v", err)
+	}
+}
