Bound what waits for routers that do not read by the memory limit

Need: as in the design before: 512 KiB for each of up to 464 connections, whatever the memory.

Change: conns.Output decides, outbox keeps one account for all connections of a server, a quarter of the memory (half of that for each of two processes); the engine's link gets an eighth, the link of a replacement a sixth.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,10 +30,12 @@
 const (
 	spareSockets = 48 // descriptors kept for the links, the poller and the runtime
 	memoryShare  = 0.7
-	resultShare  = 8 // an eighth of the memory may hold results for repeats
-	exitBefore   = 60 * time.Millisecond
-	killBefore   = 10 * time.Millisecond // what is not quiet by then is not waited for
-	drainPoll    = 5 * time.Millisecond
+	// An eighth of the memory each may hold results for repeats, what waits for the engine, and what waits for the other
+	// process of a replacement, which are those results and little more.
+	resultShare, engineShare, peerShare = 8, 8, 6
+	exitBefore                          = 60 * time.Millisecond
+	killBefore                          = 10 * time.Millisecond // what is not quiet by then is not waited for
+	drainPoll                           = 5 * time.Millisecond
 )
 
 // Front is what a replica may have beside its plain listener.
@@ -90,12 +92,14 @@
 
 	set := new(counters.Set)
 	clk := clock.NewSystem()
+	memory := int(cfg.Limits.MemoryMB << 20)
 	engineLink := engine.NewLink(cfg.Engine, clk.Now, set)
+	engineLink.BoundOutput(memory / engineShare)
 	p := &process{effects: make(chan lifecycle.Effect, 8)}
 	var server *front.Server
 	var err error
 	p.Replica, err = replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores,
-		ResultBytes: int(cfg.Limits.MemoryMB << 20 / resultShare), Replaceable: cfg.Inherited > 0,
+		ResultBytes: memory / resultShare, Replaceable: cfg.Inherited > 0,
 		CloseIdle: func(after time.Duration) { server.CloseIdle(after) }}, clk, engineLink, set)
 	if err != nil {
 		return err
@@ -104,6 +108,7 @@
 		return err
 	}
 	p.split = newSplit(cfg.Limits, server, p.Replica)
+	p.split.alone()
 	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
 		d, err := operator.Listen(cfg.Control, door{p}, clk.Now, set)
@@ -119,6 +124,7 @@
 		if p.peer, past, err = link.Open(cfg.Folder); err != nil {
 			return err
 		}
+		p.peer.Bound(memory / peerShare)
 	}
 	switch past {
 	case link.Follows:
--- a/internal/daemon/split.go
+++ b/internal/daemon/split.go
@@ -11,6 +11,9 @@
 	"cairnlane/internal/settings"
 )
 
+// outputShare is which part of the memory may hold what waits for routers that do not read.
+const outputShare = 0.25
+
 // half is each process's share of memory and pool.
 const half = 0.5
 
@@ -56,6 +59,7 @@
 // bound sets what is no connection.
 func (s *split) bound(share float64) {
 	debug.SetMemoryLimit(int64(memoryShare * share * float64(s.limits.MemoryMB<<20)))
+	s.server.BoundOutput(int(share * outputShare * float64(s.limits.MemoryMB<<20)))
 	s.replica.Share(share)
 }
 
--- a/internal/decide/conns/table_test.go
+++ b/internal/decide/conns/table_test.go
@@ -127,6 +127,21 @@
 	}
 }
 
+func TestWhoeverReadsIsNeverDeaf(t *testing.T) {
+	o := Output{Each: 100 << 10, All: 1 << 20}
+	for _, c := range []struct {
+		own, all int
+		want     bool
+	}{{0, 0, true}, {100 << 10, 500 << 10, true}, {100<<10 + 1, 500 << 10, false}, {Reading, 9 << 20, true}, {Reading + 1, 1 << 20, false}} {
+		if got := o.Takes(c.own, c.all); got != c.want {
+			t.Errorf("%d of %d: %v", c.own, c.all, got)
+		}
+	}
+	if !(Output{Each: 100}).Takes(100, 1<<40) {
+		t.Error("a bound where none is set")
+	}
+}
+
 // TestAnEndGoesThroughItsStates checks each reason on a connection that owes answers and on one that does not.
 func TestAnEndGoesThroughItsStates(t *testing.T) {
 	busy, quiet := View{Open: 1}, View{}
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"log"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,7 +18,7 @@
 	dialTimeout = time.Second
 	firstPause  = 10 * time.Millisecond  // before the first try to reconnect; doubles up to lastPause
 	lastPause   = 100 * time.Millisecond // runs wait for the link, so an engine that comes up is found soon
-	outputBound = 4 << 20
+	outputMost  = 4 << 20
 	statsOpen   = 2 // STATs open at a time: an engine that is slow to answer is asked less
 	// lossSpan is how long before the last word of the engine a command may have been written and still
 	// be lost with the link. The protocol says 50 ms; the rest is for what stood in buffers.
@@ -38,6 +39,8 @@
 	// retireTime is how long a link that is replaced may take to end by itself.
 	retireTime time.Duration
 
+	output atomic.Int64 // bound on what waits to be written
+
 	reading sync.Mutex // held while notices are told: an old link never tells beside a new one
 	mem     memory
 
@@ -48,11 +51,16 @@
 
 // NewLink returns a link to addr that is not open yet.
 func NewLink(addr string, now func() time.Duration, set *counters.Set) *Link {
-	return &Link{addr: addr, now: now, moved: make(chan struct{}, 1), retireTime: retireTime, runs: set.Get("engine_runs_sent"),
+	l := &Link{addr: addr, now: now, moved: make(chan struct{}, 1), retireTime: retireTime, runs: set.Get("engine_runs_sent"),
 		lost: set.Get("engine_links_lost"), moves: set.Get("engine_links_moved"),
 		quiet: set.Get("engine_links_silent")}
+	l.output.Store(outputMost)
+	return l
 }
 
+// BoundOutput sets how many bytes may wait to be written to a link, from the next one on; outputMost at most.
+func (l *Link) BoundOutput(most int) { l.output.Store(int64(min(most, outputMost))) }
+
 // Move has the link go on at addr. The present one is used until the new one is accepted.
 func (l *Link) Move(addr string) {
 	l.mu.Lock()
@@ -117,7 +125,7 @@
 // begin attaches a link that was accepted.
 func (l *Link) begin(conn netpoll.Connection) *connection {
 	c := &connection{Connection: conn, broken: make(chan struct{})}
-	c.out = outbox.New(conn, outputBound, func(error) { conn.Close() })
+	c.out = outbox.New(conn, int(l.output.Load()), new(outbox.Account), func(error) { conn.Close() })
 	c.sess = &session{memory: &l.mem, events: l.events, now: l.now, giveUp: func() { go conn.Close() }, send: func(encode func([]byte) []byte) {
 		if c.out.Put(encode) != nil {
 			go conn.Close() // its callbacks take locks that the sender may hold
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -57,6 +57,8 @@
 	kick        chan struct{} // an end is asked for that should not wait for the sweep
 	backlogTime time.Duration // the longest wait for what the kernel has accepted
 
+	output outbox.Account // what waits for all that do not read
+
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	table     *conns.Table
@@ -163,7 +165,7 @@
 	s.count.accepted.Inc()
 	c := &conn{line: l}
 	c.file.Owner = c
-	c.out = outbox.New(sink, outputBound, func(error) { s.want(c, conns.Broken) })
+	c.out = outbox.New(sink, outputBound, &s.output, func(error) { s.want(c, conns.Broken) })
 	c.session = &session{core: s.core, now: s.now, began: s.now(), used: s.now(), send: func(encode func([]byte) []byte) {
 		err := c.out.Put(func(dst []byte) []byte {
 			before := len(dst)
@@ -252,6 +254,9 @@
 	s.closeIdle = after
 }
 
+// BoundOutput sets how many bytes may wait to be written to all connections together.
+func (s *Server) BoundOutput(most int) { s.output.Bound(most) }
+
 // Connections tells how many router connections are open.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -21,8 +21,8 @@
 const (
 	lockName   = "cairnlane.owner"
 	socketName = "cairnlane.handover"
-	// queueBound bounds what the other process has not read: the results that are kept, and more.
-	queueBound = 16 << 20
+	// queueMost bounds what the other process has not read.
+	queueMost  = 16 << 20
 	flushPause = 2 * time.Millisecond  // between tries to write to a process that does not read
 	dialPause  = 20 * time.Millisecond // between tries to reach the owner, and to become it
 	// waitForTold is how long a process that was not told all leaves the lock to one that was.
@@ -53,6 +53,7 @@
 	conn  *net.UnixConn
 	raw   syscall.RawConn
 	queue []byte
+	bound int  // of the queue
 	timer bool // a flush is due
 	mark  byte // what the file says
 	owner bool
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, Fresh, fmt.Errorf("hand-over: %w", err)
 	}
-	l = &Link{dir: dir, lock: f}
+	l = &Link{dir: dir, lock: f, bound: queueMost}
 	got, err := l.tryLock(false)
 	for end := time.Now().Add(waitForTold); err == nil && !got && time.Now().Before(end) && !l.held(); {
 		time.Sleep(dialPause)
@@ -103,6 +104,13 @@
 	return l, Fresh, nil
 }
 
+// Bound sets how many bytes may wait for the other process, queueMost at most. It must hold all results that are kept.
+func (l *Link) Bound(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bound = min(most, queueMost)
+}
+
 // End says that this process ends in order: whoever starts next has nothing to doubt. A guest that is there takes over,
 // and reads from the mark whether it was told all.
 func (l *Link) End() {
@@ -351,7 +359,7 @@
 	if l.conn == nil {
 		return
 	}
-	if len(l.queue) > queueBound {
+	if len(l.queue) > l.bound {
 		l.conn.Close() // it comes back, and is told all anew
 		return
 	}
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -7,6 +7,9 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
+
+	"cairnlane/internal/decide/conns"
 )
 
 // ErrFull says that the peer has not read for so long that the bound was reached.
@@ -15,14 +18,24 @@
 // ErrClosed says that the box takes no more.
 var ErrClosed = errors.New("outbox: closed")
 
+// Account is what several boxes hold together. The zero value knows no bound.
+type Account struct{ held, most atomic.Int64 }
+
+// Bound sets what they may hold.
+func (a *Account) Bound(most int) { a.most.Store(int64(most)) }
+
+// Held tells what they hold.
+func (a *Account) Held() int { return int(a.held.Load()) }
+
 // spareMost is the largest buffer that is kept for the next batch.
 const spareMost = 16 << 10
 
 // Box is a bounded output buffer in front of a blocking writer.
 type Box struct {
-	sink   io.Writer
-	bound  int
-	failed func(error)
+	sink    io.Writer
+	bound   int
+	account *Account
+	failed  func(error)
 
 	mu       sync.Mutex
 	work     sync.Cond
@@ -32,9 +45,10 @@
 	closed   bool
 }
 
-// New starts the writer of a connection. failed is called once, on the writer's goroutine, if a write fails.
-func New(sink io.Writer, bound int, failed func(error)) *Box {
-	b := &Box{sink: sink, bound: bound, failed: failed}
+// New starts the writer of a connection that holds at most about bound, and has a part in an account. failed is called
+// once, on the writer's goroutine, if a write fails.
+func New(sink io.Writer, bound int, account *Account, failed func(error)) *Box {
+	b := &Box{sink: sink, bound: bound, account: account, failed: failed}
 	b.work.L = &b.mu
 	go b.write()
 	return b
@@ -44,17 +58,26 @@
 func (b *Box) Put(encode func(dst []byte) []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch {
+	limits := conns.Output{Each: b.bound, All: int(b.account.most.Load())}
+	switch own := len(b.buffered) + b.writing; {
 	case b.closed:
 		return ErrClosed
-	case len(b.buffered)+b.writing > b.bound:
+	case !limits.Takes(own, b.account.Held()):
 		return ErrFull
 	}
+	before := len(b.buffered)
 	b.buffered = encode(b.buffered)
+	b.account.held.Add(int64(len(b.buffered) - before))
 	b.work.Signal()
 	return nil
 }
 
+// drop throws away what is buffered; b.mu is held.
+func (b *Box) drop() {
+	b.account.held.Add(-int64(len(b.buffered)))
+	b.closed, b.buffered = true, nil
+}
+
 // Empty tells whether all that was put has been taken by the connection.
 func (b *Box) Empty() bool {
 	b.mu.Lock()
@@ -66,7 +89,7 @@
 func (b *Box) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.closed, b.buffered = true, nil
+	b.drop()
 	b.work.Signal()
 }
 
@@ -91,9 +114,10 @@
 		if cap(batch) > spareMost { // a burst must not be paid for as long as the connection lives
 			batch = nil
 		}
+		b.account.held.Add(-int64(b.writing))
 		b.spare, b.writing = batch, 0
 		if err != nil {
-			b.closed, b.buffered = true, nil
+			b.drop()
 		}
 	}
 }
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"runtime"
 	"testing"
+
+	"cairnlane/internal/decide/conns"
 )
 
 // gate is a sink whose writes wait for the test.
@@ -20,7 +23,7 @@
 
 func TestAnswersFoldIntoOneWriteWhileThePeerIsSlow(t *testing.T) {
 	g := &gate{make(chan []byte), make(chan error)}
-	b := New(g, 8, func(error) {})
+	b := New(g, 8, new(Account), func(error) {})
 	defer b.Close()
 	if err := b.Put(put("a")); err != nil {
 		t.Fatal(err)
@@ -49,7 +52,7 @@
 func TestAFailedWriteEndsTheBox(t *testing.T) {
 	g := &gate{make(chan []byte, 1), make(chan error, 1)}
 	failed := make(chan error)
-	b := New(g, 8, func(err error) { failed <- err })
+	b := New(g, 8, new(Account), func(err error) { failed <- err })
 	broken := errors.New("broken")
 	g.leave <- broken
 	if err := b.Put(put("a")); err != nil {
@@ -67,7 +70,7 @@
 // The buffer of one large batch used to be kept for as long as the connection lived.
 func TestALargeBufferIsNotKept(t *testing.T) {
 	g := &gate{make(chan []byte), make(chan error)}
-	b := New(g, 1<<20, func(error) {})
+	b := New(g, 1<<20, new(Account), func(error) {})
 	defer b.Close()
 	for _, n := range []int{spareMost * 4, 1, 1} { // the third write begins once the second is over
 		if err := b.Put(func(dst []byte) []byte { return append(dst, make([]byte, n)...) }); err != nil {
@@ -84,3 +87,65 @@
 		g.leave <- nil
 	}
 }
+
+// Peers that do not read used to have 512 KiB held for each of them, whatever the memory. Now they share what there is,
+// and one that reads is never turned down for them.
+func TestDeafPeersShareABound(t *testing.T) {
+	const most, answer = 64 << 10, 4 << 10
+	var all Account
+	all.Bound(most)
+	var deaf []*Box
+	for range 20 {
+		g := &gate{make(chan []byte, 1), make(chan error)}
+		b := New(g, 512<<10, &all, func(error) {})
+		deaf = append(deaf, b)
+		for b.Put(func(p []byte) []byte { return append(p, make([]byte, answer)...) }) == nil {
+			if held := all.Held(); held > most+len(deaf)*(conns.Reading+2*answer) {
+				t.Fatalf("%d bytes are held for %d peers", held, len(deaf))
+			}
+		}
+		defer func() { g.leave <- errors.New("gone") }()
+	}
+	if all.Held() < most {
+		t.Fatalf("only %d bytes are held", all.Held())
+	}
+	reader := &gate{make(chan []byte, 1), make(chan error, 100)}
+	b := New(reader, 512<<10, &all, func(error) {})
+	for range 50 {
+		if err := b.Put(put("an answer")); err != nil {
+			t.Fatal("a peer that reads is turned down: ", err)
+		}
+		<-reader.entered
+		reader.leave <- nil
+	}
+	b.Close()
+	for _, d := range deaf {
+		d.Close()
+	}
+}
+
+func TestTheAccountIsEvenInTheEnd(t *testing.T) {
+	var all Account
+	for _, err := range []error{nil, errors.New("gone")} {
+		g := &gate{make(chan []byte), make(chan error)}
+		ended := make(chan struct{})
+		b := New(g, 1<<20, &all, func(error) { close(ended) })
+		b.Put(put("first"))
+		<-g.entered
+		b.Put(put("second"))
+		if all.Held() != 11 {
+			t.Errorf("%d bytes are held, want 11", all.Held())
+		}
+		g.leave <- err
+		if err != nil {
+			<-ended
+		} else {
+			<-g.entered
+			g.leave <- nil
+		}
+		b.Close()
+		for all.Held() != 0 { // the writer's last step
+			runtime.Gosched()
+		}
+	}
+}
