--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -96,7 +96,7 @@
 	all.Bound(most)
 	var deaf []*Box
 	for range 20 {
-		g := &gate{make(chan []byte, 1), make(chan error)}
+		g := &gate{make(chan []byte, 1), make(chan error, 1)} // its writer may end before it has written
 		b := New(g, 512<<10, &all, func(error) {})
 		deaf = append(deaf, b)
 		for b.Put(func(p []byte) []byte { return append(p, make([]byte, answer)...) }) == nil {
