--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,14 +110,11 @@
 	p.split = newSplit(cfg.Limits, server, p.Replica)
 	p.split.alone()
 	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
+	var calls *operator.Door
 	if cfg.Control != "" {
-		d, err := operator.Listen(cfg.Control, door{p}, clk.Now, set)
-		if err != nil {
+		if calls, err = operator.Listen(cfg.Control, door{p}, clk.Now, set); err != nil {
 			return err
 		}
-		go d.Serve()
-		go d.Sweep(ctx)
-		log.Printf("operators may call at %s", d.Addr())
 	}
 	past := link.Fresh
 	if cfg.Inherited > 0 {
@@ -128,15 +125,18 @@
 	}
 	switch past {
 	case link.Follows:
-		p.mu.Lock() // the door may be asked already
 		p.life.Waits = true
-		p.mu.Unlock()
 		p.Follow()
 		p.split.follow()
 	case link.Died: // its saves may come again, and what it ran is not known
 		log.Print("the last process here has died; saves that it may have run fail until they can no longer come again")
 		p.Replica.TookOver(false)
 	}
+	if calls != nil { // callers have waited in the backlog until it is known what this process is
+		go calls.Serve()
+		go calls.Sweep(ctx)
+		log.Printf("operators may call at %s", calls.Addr())
+	}
 	go engineLink.Keep(ctx, p)
 	if p.peer != nil {
 		go p.peer.Keep(ctx, past, neighbour{p})
--- a/internal/replica/shared.go
+++ b/internal/replica/shared.go
@@ -125,9 +125,9 @@
 }
 
 // foreign enters a key whose run is the other process's.
-func (r *Replica) foreign(key0 string, d handover.Digest, until, deadline time.Duration) *key {
+func (r *Replica) foreign(called string, d handover.Digest, until, deadline time.Duration) *key {
 	r.nextID++
-	k := &key{name: key0, holder: r.nextID, content: d, until: until, dropAt: until + deadline, ran: true, remote: true}
+	k := &key{name: called, holder: r.nextID, content: d, until: until, dropAt: until + deadline, ran: true, remote: true}
 	r.keys.enter(k)
 	return k
 }
--- a/internal/replica/shared_test.go
+++ b/internal/replica/shared_test.go
@@ -200,6 +200,25 @@
 	p.check(t, b)
 }
 
+// A result that was dropped for room before the new process came is not there to be told: the repeat fails.
+func TestAResultThatWasDroppedForRoomIsNotRunAgain(t *testing.T) {
+	p := newPair(t)
+	p.cut()
+	p.killNew()
+	var ran []*try
+	for i := range 10 { // 64 bytes hold three results
+		ran = append(ran, p.old.arrive(fmt.Sprint("k", i), 0, time.Second))
+		p.old.end(ran[i].txn, policy.Succeeded)
+	}
+	p.start(t)
+	p.settle()
+	p.new.arrive("k0", 0, time.Second).want(t, Failed, "")
+	p.killOld()
+	p.new.arrive("k0", 0, time.Second).want(t, Failed, "")
+	p.new.arrive("k9", 0, time.Second).want(t, Served, "result of "+ran[9].txn)
+	p.check(t, ran...)
+}
+
 // The other process hangs: a claim is not answered. The try ends unrun and well in time, and stalls nobody.
 func TestAPeerThatGoesQuietStallsNothing(t *testing.T) {
 	p := newPair(t)
