Count as killed only what was open at a killed process

Need: read through once more, the trial of replacements counted every request that was lost within a second after a kill as killed. A loss that a takeover causes just after a kill, in a third of the replacements, would not have shown.

Change: a request counts as killed if it was open while a process was being killed, or was sent before that process had ended; all others are lost or turned back.

--- a/internal/handover/replace/process.go
+++ b/internal/handover/replace/process.go
@@ -170,13 +170,14 @@
 	return false
 }
 
-// killed kills a process outright and remembers when, as what was open there is lost with it.
-func (w *world) killed(p *process) {
+// strike kills a process outright and remembers when, as what was open there is lost with it.
+func (w *world) strike(p *process) {
 	w.fig.Kills++
 	w.kills.Add(1)
-	w.killing.Store(time.Now().UnixNano())
+	w.dying.Store(true)
 	p.kill()
-	w.killing.Store(time.Now().UnixNano())
+	w.killed.Store(time.Now().UnixNano())
+	w.dying.Store(false)
 }
 
 // The moments of a replacement at which a process may be killed.
@@ -207,11 +208,11 @@
 	if kill == newBeforeYes || kill == oldBeforeYes {
 		time.Sleep(moment)
 		if kill == newBeforeYes {
-			w.killed(next)
+			w.strike(next)
 			w.fig.GivenUp++
 			return nil // the old one goes on alone
 		}
-		w.killed(old)
+		w.strike(old)
 	}
 	if !w.ready(next) {
 		return fmt.Errorf("replacement %d: the new process does not take clients: %v %s", w.fig.Replacements, next.err, next.log())
@@ -221,12 +222,12 @@
 		return nil
 	case newAfterYes:
 		time.Sleep(moment)
-		w.killed(next)
+		w.strike(next)
 		w.fig.GivenUp++
 		return nil
 	case oldAfterYes:
 		time.Sleep(moment)
-		w.killed(old)
+		w.strike(old)
 		return nil
 	}
 	began := time.Now()
@@ -235,7 +236,7 @@
 	}
 	if kill == oldAfterTerm {
 		time.Sleep(moment)
-		w.killed(old)
+		w.strike(old)
 		return nil
 	}
 	select {
@@ -244,7 +245,7 @@
 	case <-time.After(deadline + killRest):
 		atomic.AddInt64(&w.fig.Exits, 1)
 		w.fig.note("the old process had to be killed: %s", old.log())
-		w.killed(old)
+		w.strike(old)
 		return nil
 	}
 	if old.err != nil || !bytes.Contains([]byte(old.log()), []byte("invariants_broken=0")) {
--- a/internal/handover/replace/replace.go
+++ b/internal/handover/replace/replace.go
@@ -68,7 +68,8 @@
 	routers []*router.Router
 	stop    atomic.Bool
 	kills   atomic.Int64 // processes killed so far; a request open across one may be lost with it
-	killing atomic.Int64 // when the last one was
+	dying   atomic.Bool  // one is being killed
+	killed  atomic.Int64 // when the last one had ended
 	wait    sync.WaitGroup
 	txns    atomic.Uint64
 	bodies  sync.Map // of keyed requests
@@ -268,7 +269,7 @@
 	case router.Failed:
 		atomic.AddInt64(&f.Failed, 1)
 	default:
-		if kills != w.kills.Load() || began.Sub(time.Unix(0, w.killing.Load())) < time.Second && w.killing.Load() > 0 {
+		if kills != w.kills.Load() || w.dying.Load() || began.UnixNano() <= w.killed.Load() {
 			atomic.AddInt64(&f.Killed, 1)
 		} else if o.End == router.TurnedBack {
 			atomic.AddInt64(&f.TurnedBack, 1)
