--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"sort"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -68,7 +69,18 @@
 // the methods and functions that rapid's Repeat takes; the one named "" checks what must always hold.
 func Steps(t *testing.T, start func(t *rapid.T) map[string]func(*rapid.T)) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+	play(t, start, 100, 30)
+}
+
+// LongSteps is Steps with so many machines and about so many steps on each.
+func LongSteps(t *testing.T, machines, steps int, start func(t *rapid.T) map[string]func(*rapid.T)) {
+	t.Helper()
+	play(t, start, machines, steps)
+}
+
+func play(t *testing.T, start func(t *rapid.T) map[string]func(*rapid.T), machines, steps int) {
+	t.Helper()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true", "rapid.checks": strconv.Itoa(machines), "rapid.steps": strconv.Itoa(steps)} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
