Make the daemon a value of parts with a stated order of start and end

daemon.Run wired, waited, drained and ended in one function of 135 lines, so a fleet would have been one more thread through it.

It is a service now: assemble makes the parts, begin starts them in their order, serve takes signals and effects, end ends them in the reverse order.

--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -30,7 +30,7 @@
 	"cairnlane/internal/state/keystore"
 )
 
-// Box is the appliance. It implements daemon.Front.
+// Box is the appliance. It implements daemon.Part.
 type Box struct {
 	cfg   *config.Appliance
 	log   zerolog.Logger
@@ -119,7 +119,7 @@
 	return float64(xxhash.Sum64String(box+"\x00"+certificate)>>11) / (1 << 53)
 }
 
-// Start implements daemon.Front.
+// Start implements daemon.Part.
 func (b *Box) Start(ctx context.Context, server *front.Server, set *counters.Set) error {
 	ctx, b.stop = context.WithCancel(ctx)
 	if b.set == nil {
@@ -169,7 +169,7 @@
 	b.log.Info().Str("socket", b.cfg.Control).Msg("cairnctl may ask")
 }
 
-// Leave implements daemon.Front. Certificates are kept until the end: handshakes of routers that come back for what
+// Leave implements daemon.Part. Certificates are kept until the end: handshakes of routers that come back for what
 // they are owed must not fail.
 func (b *Box) Leave() {
 	if b.tls != nil {
@@ -177,7 +177,7 @@
 	}
 }
 
-// Close implements daemon.Front.
+// Close implements daemon.Part.
 func (b *Box) Close() {
 	if b.stop != nil {
 		b.stop()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,11 +39,16 @@
 	drainPoll                           = 5 * time.Millisecond
 )
 
-// Front is what a replica may have beside its plain listener.
-type Front interface {
-	// Start begins to serve on the same server; it is called once, before requests come.
+// Part is what a process may have beside the replica and its plain listener: TLS, a control socket, a fleet.
+//
+// Parts are started in the order in which they are given, after the replica's own (door, link to the other process, link to
+// the engine) and before clients are taken. At the end they leave and close in the reverse order: in a drain all leave
+// when its grace is over, while what was begun is still answered; all close when nothing is open any more.
+type Part interface {
+	// Start begins; it is called once. An error ends the process before it has served.
 	Start(ctx context.Context, server *front.Server, set *counters.Set) error
-	// Leave stops the listening, when the grace of a drain is over.
+	// Leave ends what would bring new work, when the grace of a drain is over. A hand-over to another process has no grace
+	// and does not call it.
 	Leave()
 	// Close ends what is left, at the end of the process.
 	Close()
@@ -80,50 +86,87 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
 }
 
+// service is one running process: the replica's own parts in fields, in the order in which they are made, and the parts
+// that the program adds.
+type service struct {
+	path    string
+	cfg     *settings.Replica
+	parts   []Part
+	started func(*Replica)
+
+	signals  chan os.Signal
+	set      *counters.Set
+	clk      *clock.System
+	engine   *engine.Link
+	process  *process // with the replica and the link to the other process
+	server   *front.Server
+	door     *operator.Door // nil without an address for it
+	past     link.Past
+	reporter *catalog.Reporter
+	failed   chan error // of the listener
+	reloads  *counters.Counter
+	turned   *counters.Counter // configurations that were turned down
+}
+
 // Run serves until the notice to leave was carried out; the process ends then with exit code 0. started is told once
-// clients are taken. extra and started may be nil.
-func Run(path string, cfg *settings.Replica, extra Front, started func(*Replica)) error {
+// clients are taken; it may be nil.
+func Run(path string, cfg *settings.Replica, started func(*Replica), parts ...Part) error {
 	limit(cfg.Limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to die
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	s, err := assemble(path, cfg, started, parts)
+	if err != nil {
+		return err
+	}
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	return s.serve(ctx)
+}
 
-	set := new(counters.Set)
-	clk := clock.NewSystem()
+// assemble makes the parts; nobody is served, and nothing is started.
+func assemble(path string, cfg *settings.Replica, started func(*Replica), parts []Part) (*service, error) {
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to die
+	s := &service{path: path, cfg: cfg, parts: parts, started: started, signals: make(chan os.Signal, 4), set: new(counters.Set), clk: clock.NewSystem(),
+		process: &process{effects: make(chan lifecycle.Effect, 8)}, past: link.Fresh, failed: make(chan error, 1)}
+	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	s.reloads, s.turned = s.set.Get("configurations_reloaded"), s.set.Get("configurations_turned_down")
 	memory := int(cfg.Limits.MemoryMB << 20)
-	engineLink := engine.NewLink(cfg.Engine, clk.Now, set)
-	engineLink.BoundOutput(memory / engineShare)
-	p := &process{effects: make(chan lifecycle.Effect, 8)}
-	var server *front.Server
+	s.engine = engine.NewLink(cfg.Engine, s.clk.Now, s.set)
+	s.engine.BoundOutput(memory / engineShare)
+	p := s.process
 	var err error
 	p.Replica, err = replica.New(replica.Config{Policy: cfg.Policy, Tenants: cfg.Tenants, OnCores: cfg.OnCores,
 		ResultBytes: memory / resultShare, Replaceable: cfg.Inherited > 0,
-		CloseIdle: func(after time.Duration) { server.CloseIdle(after) }}, clk, engineLink, set)
+		CloseIdle: func(after time.Duration) { s.server.CloseIdle(after) }}, s.clk, s.engine, s.set)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if server, err = listen(cfg, p, clk, set); err != nil {
-		return err
+	if s.server, err = listen(cfg, p, s.clk, s.set); err != nil {
+		return nil, err
 	}
-	p.split = newSplit(cfg.Limits, server, p.Replica)
+	p.split = newSplit(cfg.Limits, s.server, p.Replica)
 	p.split.alone()
-	server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
-	var calls *operator.Door
+	s.server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
-		if calls, err = operator.Listen(cfg.Control, door{p}, clk.Now, set); err != nil {
-			return err
+		if s.door, err = operator.Listen(cfg.Control, door{p}, s.clk.Now, s.set); err != nil {
+			return nil, err
 		}
 	}
-	past := link.Fresh
 	if cfg.Inherited > 0 {
-		if p.peer, past, err = link.Open(cfg.Folder); err != nil {
-			return err
+		if p.peer, s.past, err = link.Open(cfg.Folder); err != nil {
+			return nil, err
 		}
 		p.peer.Bound(memory / peerShare)
 	}
-	switch past {
+	s.reporter = catalog.NewReporter(cfg.Directory, cfg.Name, s.set)
+	return s, nil
+}
+
+// begin starts the parts in their order.
+func (s *service) begin(ctx context.Context) error {
+	p := s.process
+	switch s.past {
 	case link.Follows:
 		p.life.Waits = true
 		p.Follow()
@@ -132,91 +175,102 @@
 		log.Print("the last process here has died; saves that it may have run fail until they can no longer come again")
 		p.Replica.TookOver(false)
 	}
-	if calls != nil { // callers have waited in the backlog until it is known what this process is
-		go calls.Serve()
-		go calls.Sweep(ctx)
-		log.Printf("operators may call at %s", calls.Addr())
+	if s.door != nil { // callers have waited in the backlog until it is known what this process is
+		go s.door.Serve()
+		go s.door.Sweep(ctx)
+		log.Printf("operators may call at %s", s.door.Addr())
 	}
-	go engineLink.Keep(ctx, p)
+	go s.engine.Keep(ctx, p)
 	if p.peer != nil {
-		go p.peer.Keep(ctx, past, neighbour{p})
+		go p.peer.Keep(ctx, s.past, neighbour{p})
 	}
-	if past != link.Follows {
+	if s.past != link.Follows {
 		p.take(lifecycle.Inherited)
 	}
-	go server.Sweep(ctx)
-	reporter := catalog.NewReporter(cfg.Directory, cfg.Name, set)
-	if extra != nil {
-		if err := extra.Start(ctx, server, set); err != nil {
+	go s.server.Sweep(ctx)
+	for _, part := range s.parts {
+		if err := part.Start(ctx, s.server, s.set); err != nil {
 			return err
 		}
 	}
-	self := &Replica{Name: cfg.Name, Addr: server.Addr(), Counters: set, signals: signals, process: p}
+	return nil
+}
 
-	reloads, badReloads := set.Get("configurations_reloaded"), set.Get("configurations_turned_down")
-	failed := make(chan error, 1)
+// serve takes signals and what follows from the process's life, one at a time.
+func (s *service) serve(ctx context.Context) error {
 	for {
 		select {
-		case err := <-failed:
-			if s := p.state(); s != lifecycle.Leaving && s != lifecycle.HandingOver {
+		case err := <-s.failed:
+			if state := s.process.state(); state != lifecycle.Leaving && state != lifecycle.HandingOver {
 				return fmt.Errorf("the listener ended: %w", err)
 			}
-			failed = nil
-		case effect := <-p.effects:
-			if effect&lifecycle.Announce != 0 {
-				p.peer.Send(&handover.Message{Kind: handover.Ready})
+			s.failed = nil
+		case effect := <-s.process.effects:
+			s.carryOut(ctx, effect)
+		case sig := <-s.signals:
+			switch sig {
+			case syscall.SIGUSR1:
+				s.report()
+			case syscall.SIGHUP: // in a drain as well: its runs still end at the engine
+				s.reload()
+			default:
+				s.process.take(lifecycle.Term)
 			}
-			if effect&lifecycle.Accept != 0 {
-				go func() { failed <- server.Serve() }()
-				go reporter.Keep(ctx)
-				if started != nil {
-					started(self)
-				}
-				log.Printf("%s serves at %s", cfg.Name, server.Addr())
-			}
-			if effect&lifecycle.EndEmpty != 0 {
-				stopped := cfg
-				go func() {
-					if effect&lifecycle.DrainAll != 0 {
-						reporter.Leave()
-						leave(clk, p.Replica, server, extra, stopped)
-						if p.peer != nil {
-							p.peer.End()
-						}
-					} else {
-						handOver(clk, p.Replica, server, stopped)
-					}
-					report(set)
-					if extra != nil {
-						extra.Close()
-					}
-					os.Exit(0)
-				}()
-			}
-		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
-				report(set)
-				continue
-			}
-			if sig == syscall.SIGHUP { // in a drain as well: its runs still end at the engine
-				next, err := cfg.Reload(path)
-				if err != nil {
-					badReloads.Inc()
-					log.Print("the old settings stay in force: ", err)
-					continue
-				}
-				reloads.Inc()
-				cfg = next
-				engineLink.Move(cfg.Engine)
-				reporter.Move(cfg.Directory)
-				log.Printf("configuration read anew: engine %s, directory %s", cfg.Engine, cfg.Directory)
-				continue
-			}
-			p.take(lifecycle.Term)
 		}
 	}
 }
 
+// carryOut does what an event of the process's life has asked for.
+func (s *service) carryOut(ctx context.Context, effect lifecycle.Effect) {
+	if effect&lifecycle.Announce != 0 {
+		s.process.peer.Send(&handover.Message{Kind: handover.Ready})
+	}
+	if effect&lifecycle.Accept != 0 {
+		go func(failed chan<- error) { failed <- s.server.Serve() }(s.failed)
+		go s.reporter.Keep(ctx)
+		if s.started != nil {
+			s.started(&Replica{Name: s.cfg.Name, Addr: s.server.Addr(), Counters: s.set, signals: s.signals, process: s.process})
+		}
+		log.Printf("%s serves at %s", s.cfg.Name, s.server.Addr())
+	}
+	if effect&lifecycle.EndEmpty != 0 {
+		go s.end(s.cfg, effect&lifecycle.DrainAll != 0)
+	}
+}
+
+// end ends the process, in a drain or by a hand-over.
+func (s *service) end(cfg *settings.Replica, drain bool) {
+	if drain {
+		s.reporter.Leave()
+		s.leave(cfg)
+		if s.process.peer != nil {
+			s.process.peer.End()
+		}
+	} else {
+		s.handOver(cfg)
+	}
+	s.report()
+	for _, part := range slices.Backward(s.parts) {
+		part.Close()
+	}
+	os.Exit(0)
+}
+
+// reload reads the configuration anew and moves the links to the addresses in it.
+func (s *service) reload() {
+	next, err := s.cfg.Reload(s.path)
+	if err != nil {
+		s.turned.Inc()
+		log.Print("the old settings stay in force: ", err)
+		return
+	}
+	s.reloads.Inc()
+	s.cfg = next
+	s.engine.Move(next.Engine)
+	s.reporter.Move(next.Directory)
+	log.Printf("configuration read anew: engine %s, directory %s", next.Engine, next.Directory)
+}
+
 // Platform runs the platform's replica as its environment tells, to the end. It only returns an error.
 func Platform() error {
 	path := os.Getenv("RELAY_CONFIG")
@@ -227,7 +281,7 @@
 	if err != nil {
 		return err
 	}
-	return Run(path, cfg, nil, nil)
+	return Run(path, cfg, nil)
 }
 
 // listen takes the platform's listening socket, or opens one.
@@ -241,44 +295,44 @@
 
 // leave drains: work goes on through the grace, then routers are asked to go, and the process ends as
 // soon as they have, at the latest just before it would be stopped.
-func leave(clk *clock.System, rep *replica.Replica, server *front.Server, extra Front, cfg *settings.Replica) {
-	stopAt := clk.Now() + cfg.Stop
-	rep.Drain(cfg.Stop)
+func (s *service) leave(cfg *settings.Replica) {
+	stopAt := s.clk.Now() + cfg.Stop
+	s.process.Replica.Drain(cfg.Stop)
 	time.Sleep(min(cfg.Policy.DrainGrace, cfg.Stop*3/4))
-	if extra != nil {
-		extra.Leave()
+	for _, part := range slices.Backward(s.parts) {
+		part.Leave()
 	}
-	server.Leave()
-	end(clk, rep, server, stopAt)
+	s.server.Leave()
+	s.empty(stopAt)
 }
 
 // handOver leaves the service to the successor: nothing new is taken, routers are asked to go, and the process ends as
 // soon as they have, at the latest just before it would be killed.
-func handOver(clk *clock.System, rep *replica.Replica, server *front.Server, cfg *settings.Replica) {
+func (s *service) handOver(cfg *settings.Replica) {
 	var longest time.Duration
 	for _, c := range cfg.Policy.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	stopAt := clk.Now() + lifecycle.HandOverTime(longest)
-	rep.StopAt(stopAt)
-	server.HandOver()
-	end(clk, rep, server, stopAt)
+	stopAt := s.clk.Now() + lifecycle.HandOverTime(longest)
+	s.process.StopAt(stopAt)
+	s.server.HandOver()
+	s.empty(stopAt)
 }
 
-// end ends the process's connections by stopAt.
-func end(clk *clock.System, rep *replica.Replica, server *front.Server, stopAt time.Duration) {
-	for clk.Now() < stopAt-exitBefore {
-		if server.Connections() == 0 && rep.Owed() == 0 {
+// empty ends the process's connections by stopAt.
+func (s *service) empty(stopAt time.Duration) {
+	for s.clk.Now() < stopAt-exitBefore {
+		if s.server.Connections() == 0 && s.process.Owed() == 0 {
 			return
 		}
 		time.Sleep(drainPoll)
 	}
-	for !server.Close() && clk.Now() < stopAt-killBefore {
+	for !s.server.Close() && s.clk.Now() < stopAt-killBefore {
 		time.Sleep(drainPoll)
 	}
 }
 
 // report prints the counters.
-func report(set *counters.Set) {
-	log.Printf("counters: %v invariants_broken=%d", set, assert.Failures())
+func (s *service) report() {
+	log.Printf("counters: %v invariants_broken=%d", s.set, assert.Failures())
 }
