--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -111,11 +111,12 @@
 const (
 	Joining    Phase = iota + 1 // it has no session
 	In                          // it has one
+	Displaced                   // another process has joined under its name and has said no more yet: it may be a late word of a dead one
 	Superseded                  // another process has joined under its name; it acts no more and does not join again
 	Gone                        // it has left
 )
 
-var phases = [...]string{"", "joining", "in", "superseded", "gone"}
+var phases = [...]string{"", "joining", "in", "displaced", "superseded", "gone"}
 
 func (p Phase) String() string { return phases[p] }
 
@@ -331,11 +332,17 @@
 	}
 	switch {
 	case newest != nil && newest.Nonce != h.nonce && h.latest != 0 && newest.ID > h.latest:
-		h.phase, h.until, h.open = Superseded, 0, nil
-		for _, a := range h.asks {
-			a.State = a.State.next(sessionEnded).next(turnedDown)
+		h.phase, h.open = Displaced, nil
+		if newest.Seq > 0 { // it lives
+			h.phase = Superseded
+			for _, a := range h.asks {
+				a.State = a.State.next(turnedDown)
+			}
 		}
 		return
+	case h.phase == Displaced:
+		h.phase = Joining
+		return
 	case h.phase == Joining && newest != nil && newest.Nonce == h.nonce:
 		h.begin(now, newest)
 	}
@@ -433,3 +440,10 @@
 		a.State = a.State.next(turnedDown)
 	}
 }
+
+// Stop asks the holder of a token to stop early.
+func (h *Holder) Stop(now time.Duration, token uint64) {
+	if h.phase == In {
+		h.make(now, Command{Kind: Stop, Token: token})
+	}
+}
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -250,6 +250,27 @@
 	}
 }
 
+func TestALateJoinOfADeadProcessKeepsNobodyOut(t *testing.T) {
+	terms := Terms{Term: time.Second}
+	table := NewTable(terms)
+	h := NewHolder("x", "", 2, terms)
+	list, _ := h.Due(0)
+	table.Apply(1, list[0])
+	h.Saw(1, table, nil)
+	table.Apply(2, Command{Kind: Join, Box: "x", Nonce: 1, Try: 7})
+	h.Saw(2, table, nil)
+	if list, _ := h.Due(time.Minute); h.Phase() != Displaced || len(list) > 0 {
+		t.Fatalf("%v says %v", h.Phase(), list)
+	}
+	table.Apply(3, Command{Kind: Expire, Session: 2})
+	h.Saw(time.Minute, table, nil)
+	list, _ = h.Due(time.Minute)
+	table.Apply(4, list[0])
+	if h.Saw(time.Minute, table, nil); h.Phase() != In {
+		t.Errorf("%v", h.Phase())
+	}
+}
+
 func TestAnotherProcessOfTheNameIsToldAndStaysOut(t *testing.T) {
 	terms := Terms{Term: time.Second}
 	table := NewTable(terms)
@@ -271,6 +292,11 @@
 	}
 	step(b, 3)
 	a.Saw(4, table, nil)
+	if a.Phase() != Displaced || a.May(4, ask, 0) == nil {
+		t.Errorf("the earlier one is %v after a join that may be a late one", a.Phase())
+	}
+	step(b, terms.Term)
+	a.Saw(terms.Term, table, nil)
 	if a.Phase() != Superseded || a.May(5, ask, 0) == nil || b.Phase() != In {
 		t.Errorf("the earlier one is %v and may act: %v; the later one is %v", a.Phase(), a.May(5, ask, 0) == nil, b.Phase())
 	}
--- /dev/null
+++ b/internal/fleet/ledger/state_test.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/voters"
+)
+
+func sample(t *testing.T) *State {
+	t.Helper()
+	s := Begin(5, lease.Terms{Term: time.Second, Drift: 0.01}, []string{"a"}, "a", 9)
+	for i, c := range []lease.Command{{Kind: lease.Join, Box: "a", Nonce: 1, Try: 1}, {Kind: lease.Join, Box: "b", Nonce: 2, Try: 1}} {
+		if err := s.Table.Apply(s.Index<<8|uint64(i), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, b := s.Table.Names["a"], s.Table.Names["b"]
+	for _, c := range []lease.Command{{Kind: lease.Acquire, Session: a, Seq: 1, Task: "x", Slots: 1}, {Kind: lease.Acquire, Session: b, Seq: 1, Task: "x", Slots: 1}, {Kind: lease.Acquire, Session: b, Seq: 2, Task: "y", Slots: 2, Sticky: true}} {
+		if err := s.Table.Apply(0, c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func TestAStateIsTheSameBytesHoweverItCame(t *testing.T) {
+	s := sample(t)
+	raw := s.Encode()
+	back, err := Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 { // maps are walked in another order each time
+		if !bytes.Equal(back.Encode(), raw) || !bytes.Equal(back.Clone().Encode(), raw) {
+			t.Fatal("the bytes differ")
+		}
+	}
+	for cut := range raw {
+		if _, err := Decode(raw[:cut]); err == nil {
+			t.Fatalf("a state that is cut at %d of %d is taken", cut, len(raw))
+		}
+	}
+}
+
+func TestALaterVersionIsNotApplied(t *testing.T) {
+	s := sample(t)
+	raw, _ := encoding.Marshal(Entry{Version: Version + 1})
+	before := s.Digest()
+	if _, _, err := s.apply(Record{Index: s.Index + 1, Data: raw}); !errors.Is(err, ErrVersion) || s.Digest() != before {
+		t.Errorf("%v", err)
+	}
+	s.Version++
+	if _, err := Decode(s.Encode()); !errors.Is(err, ErrVersion) {
+		t.Errorf("a snapshot of a later build: %v", err)
+	}
+}
+
+func TestAnEraBeginsAboveAllNumbers(t *testing.T) {
+	s := sample(t)
+	n := s.Anew("b", 11)
+	if n.Index <= s.Index+1<<39 || n.Table.Token <= s.Table.Token+1<<39 || n.Table.Closed == 0 {
+		t.Errorf("index %d after %d, token %d after %d, closed at %d", n.Index, s.Index, n.Table.Token, s.Table.Token, n.Table.Closed)
+	}
+	if len(n.Voters) != 1 || n.Voters["b"] != (voters.Voter{ID: 11}) || s.Voters["a"].ID != 9 {
+		t.Errorf("voters %v, and before %v", n.Voters, s.Voters)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,224 @@
+// Package fleet is one replica's part in its fleet: who is there, what is agreed on, and who may act. Serving never waits
+// for it, and nothing of the platform's binary links it.
+package fleet
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet/ledger"
+)
+
+// NodeConfig is what a Node is made with.
+type NodeConfig struct {
+	Name   string
+	Build  string
+	Seeds  []string // boxes to ask for a fleet as long as none is known
+	Timing ledger.Timing
+	Rand   *rand.Rand
+	Disk   ledger.Disk
+	Told   func(format string, args ...any)
+}
+
+// Node is one box's part without any I/O: messages and the time go in, messages come out. The same code runs in a process
+// (Fleet) and in virtual time (lab/fleetsim). It is not safe for use by several goroutines. Time is the box's own.
+type Node struct {
+	cfg    NodeConfig
+	ledger *ledger.Ledger
+	holder *lease.Holder
+	judge  lease.Judge
+	why    map[uint64]error // of this session's commands that were turned down, by their number
+	out    []ledger.Envelope
+	next   time.Duration
+	reopen time.Duration
+	count  Counts
+}
+
+// Counts are what a node has done, for whoever measures.
+type Counts struct {
+	Commands int64 // of all boxes that were applied here
+	Entries  int64
+	Said     int64 // messages
+}
+
+// NewNode takes up what the disk holds.
+func NewNode(now time.Duration, cfg NodeConfig) (*Node, error) {
+	l, err := ledger.Open(now, ledger.Config{Name: cfg.Name, Seeds: cfg.Seeds, Timing: cfg.Timing, Rand: cfg.Rand, Disk: cfg.Disk, Told: cfg.Told})
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, ledger: l, why: map[uint64]error{}}
+	n.holder = lease.NewHolder(cfg.Name, cfg.Build, cfg.Rand.Uint64()|1, l.State().Table.Terms)
+	n.turn(now)
+	return n, nil
+}
+
+// Ledger is what the fleet agrees on, to be read.
+func (n *Node) Ledger() *ledger.Ledger { return n.ledger }
+
+// Holder is this box's side of its leases, to be read.
+func (n *Node) Holder() *lease.Holder { return n.holder }
+
+// Counts tells what the node has done.
+func (n *Node) Counts() Counts { return n.count }
+
+// Receive takes a message of another box.
+func (n *Node) Receive(now time.Duration, from string, m ledger.Message) {
+	n.ledger.Receive(now, from, m)
+	n.turn(now)
+}
+
+// Tick does what is due.
+func (n *Node) Tick(now time.Duration) { n.turn(now) }
+
+// Next is when Tick is to be called at the latest.
+func (n *Node) Next() time.Duration { return n.next }
+
+// Take returns the messages to be sent.
+func (n *Node) Take() []ledger.Envelope {
+	out := n.out
+	n.out = nil
+	n.count.Said += int64(len(out))
+	return out
+}
+
+// turn passes on what has come of anything, until nothing more does.
+func (n *Node) turn(now time.Duration) {
+	if n.ledger.Failed() != nil {
+		n.again(now)
+	}
+	n.next = n.ledger.Tick(now)
+	for range 8 { // a lone voter's own commands are applied as soon as they are made
+		out, applied, moved := n.ledger.Take()
+		n.out = append(n.out, out...)
+		if moved {
+			n.see(now, applied)
+		}
+		asked := n.say(now)
+		if !moved && !asked {
+			return
+		}
+		n.next = min(n.next, n.ledger.Tick(now))
+	}
+}
+
+// reopenPause is between two tries to go on after the disk has failed.
+const reopenPause = 500 * time.Millisecond
+
+// again goes on after the disk has failed, as if the process had been started anew: from what the disk holds.
+func (n *Node) again(now time.Duration) {
+	if now < n.reopen {
+		return
+	}
+	n.reopen = now + reopenPause
+	if n.ledger.Reopen(now) == nil {
+		n.judge.Forget()
+	}
+}
+
+// see shows what was agreed on to those who decide.
+func (n *Node) see(now time.Duration, applied []ledger.Applied) {
+	for _, a := range applied {
+		n.count.Entries++
+		n.count.Commands += int64(len(a.Commands))
+		for i, c := range a.Commands {
+			if c.Session == n.holder.Session() && c.Session != 0 && a.Why[i] != nil && !errors.Is(a.Why[i], lease.ErrOrder) {
+				n.why[c.Seq] = a.Why[i]
+			}
+		}
+	}
+	state := n.ledger.State()
+	if state.Fleet == 0 {
+		return
+	}
+	session := n.holder.Session()
+	n.holder.Saw(now, state.Table, func(seq uint64) error { return n.why[seq] })
+	if n.holder.Session() != session || len(n.why) > lease.AsksMost {
+		clear(n.why)
+	}
+	n.judge.Saw(now, state.Table)
+}
+
+// say sends what this box has to say to the ledger.
+func (n *Node) say(now time.Duration) bool {
+	state := n.ledger.State()
+	if state.Fleet == 0 || n.ledger.Failed() != nil {
+		return false
+	}
+	list, next := n.holder.Due(now)
+	n.next = min(n.next, next)
+	if n.ledger.Leads(now) {
+		ends, next := n.judge.Due(now, state.Table)
+		n.next = min(n.next, next)
+		list = append(list, ends...)
+	}
+	n.ledger.Ask(now, list)
+	return len(list) > 0
+}
+
+// Acquire asks for a slot.
+func (n *Node) Acquire(now time.Duration, r lease.Request) (*lease.Ask, error) {
+	if n.ledger.State().Fleet == 0 {
+		return nil, ledger.ErrNoFleet
+	}
+	a, err := n.holder.Acquire(now, r)
+	n.turn(now)
+	return a, err
+}
+
+// GiveUp gives a slot back. The caller acts under it no more.
+func (n *Node) GiveUp(now time.Duration, a *lease.Ask) {
+	n.holder.GiveUp(now, a)
+	n.turn(now)
+}
+
+// Drop forgets an ask that is over.
+func (n *Node) Drop(a *lease.Ask) { n.holder.Drop(a) }
+
+// May tells whether an effect that takes at most need may be begun now.
+func (n *Node) May(now time.Duration, a *lease.Ask, need time.Duration) error {
+	if err := n.ledger.Alarm(); err != nil {
+		return err
+	}
+	return n.holder.May(now, a, need)
+}
+
+// Operator sends a command of an operator: Free, or Stop by the token of a lease.
+func (n *Node) Operator(now time.Duration, c lease.Command) {
+	if c.Kind == lease.Stop {
+		n.holder.Stop(now, c.Token)
+	} else {
+		n.ledger.Ask(now, []lease.Command{c})
+	}
+	n.turn(now)
+}
+
+// Part has the box leave its fleet in order. It acts no more.
+func (n *Node) Part(now time.Duration) {
+	n.holder.Part(now)
+	n.turn(now)
+}
+
+// Init, Recover and Want are an operator's; see the ledger's.
+func (n *Node) Init(now time.Duration, terms lease.Terms, voters []string) error {
+	err := n.ledger.Init(now, terms, voters)
+	n.turn(now)
+	return err
+}
+
+// Recover begins the ledger anew.
+func (n *Node) Recover(now time.Duration) error {
+	err := n.ledger.Recover(now)
+	n.judge.Forget()
+	n.turn(now)
+	return err
+}
+
+// Want asks for other voters.
+func (n *Node) Want(now time.Duration, voters []string) error {
+	err := n.ledger.Want(now, voters)
+	n.turn(now)
+	return err
+}
