Tell each reason for which a link ends at its own rate, so that a noisy one hides no other

A peer with a wrong key comes back every 2 s and took the one line a second that all reasons shared, so the line about garbage was left out. Ruled out: the garbage itself (the connection did end and was counted).

Each reason has its own rate now, and a connection that is not taken is closed once netpoll has it (netpoll printed "detach operator failed").

--- a/internal/fleet/peer/links.go
+++ b/internal/fleet/peer/links.go
@@ -44,6 +44,19 @@
 	tieTime       = 2 * time.Second
 )
 
+// reasons are those that are told apart.
+var reasons = [...]error{ErrGarbage, ErrKey, ErrStranger, ErrVersion, ErrSelf, ErrMAC, ErrTooLong}
+
+// reasonOf is a reason's place among them; any other one has the last.
+func reasonOf(err error) int {
+	for i, r := range reasons {
+		if errors.Is(err, r) {
+			return i
+		}
+	}
+	return len(reasons) + 2
+}
+
 // Links are a box's links to all its peers.
 type Links struct {
 	cfg     Config
@@ -51,7 +64,7 @@
 	receive func(from string, kind byte, payload []byte)
 	ln      netpoll.Listener
 	loop    netpoll.EventLoop
-	noise   rate.Sometimes
+	noise   [len(reasons) + 3]rate.Sometimes // one for each reason: a noisy one hides no other
 	count   struct{ up, ended, refused, in, out, dropped, flooded *counters.Counter }
 
 	mu        sync.Mutex
@@ -108,7 +121,10 @@
 	if _, err := cfg.Keys(); err != nil {
 		return nil, err
 	}
-	l := &Links{cfg: cfg, run: mrand.Uint64(), receive: receive, peers: map[string]*end{}, noise: rate.Sometimes{First: 20, Interval: time.Second}}
+	l := &Links{cfg: cfg, run: mrand.Uint64(), receive: receive, peers: map[string]*end{}}
+	for i := range l.noise {
+		l.noise[i] = rate.Sometimes{First: 5, Interval: time.Second}
+	}
 	for name, c := range map[string]**counters.Counter{"up": &l.count.up, "ended": &l.count.ended, "refused": &l.count.refused, "messages_in": &l.count.in,
 		"messages_out": &l.count.out, "messages_dropped": &l.count.dropped, "messages_flooded": &l.count.flooded} {
 		*c = cfg.Set.Get("fleet_links_" + name)
@@ -175,11 +191,10 @@
 	l.mu.Unlock()
 	if full {
 		l.count.refused.Inc()
-		l.noise.Do(func() {
+		l.noise[len(reasons)].Do(func() {
 			l.cfg.Told("a connection from %s is closed: %d others prove nothing", c.RemoteAddr(), strangersMost)
 		})
-		c.Close()
-		return context.Background()
+		return context.Background() // it is closed once netpoll has it
 	}
 	k, err := l.attach(c)
 	if err != nil {
@@ -252,7 +267,7 @@
 	k.mu.Unlock()
 	if !k.flow.messages.AllowN(now, 1) || !k.flow.bytes.AllowN(now, len(payload)) {
 		k.links.count.flooded.Inc()
-		k.links.noise.Do(func() {
+		k.links.noise[len(reasons)+1].Do(func() {
 			k.links.cfg.Told("%s sends more than %d messages or %d MB a second; some are left out", k.sess.peer, messagesRate, bytesRate>>20)
 		})
 		return
@@ -343,7 +358,7 @@
 		if !proven {
 			l.count.refused.Inc()
 		}
-		l.noise.Do(func() { l.cfg.Told("link with %q at %s: %v", k.sess.peer, k.RemoteAddr(), reason) })
+		l.noise[reasonOf(reason)].Do(func() { l.cfg.Told("link with %q at %s: %v", k.sess.peer, k.RemoteAddr(), reason) })
 	}
 	go k.Connection.Close() // netpoll's close waits for its callback, which may be what calls here
 }
