--- /dev/null
+++ b/cmd/cairnctl/fleet.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"cairnlane/internal/clock"
+	"cairnlane/internal/control"
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet/command"
+)
+
+type fleetOptions struct {
+	Status  struct{} `cmd:"" help:"How this box stands to its fleet; exit code 1 with the reason when the fleet cannot agree on anything now."`
+	Members struct{} `cmd:"" help:"The boxes of the fleet."`
+	Leases  struct{} `cmd:"" help:"Who holds and waits for what."`
+	Init    struct {
+		Voters []string      `required:"" sep:"," help:"The boxes that are to agree: 1, 3 or 5 names."`
+		Term   time.Duration `default:"10s" help:"How long a lease lives without a word of its box."`
+		Drift  float64       `default:"0.01" help:"The share by which a box's clock may run fast or slow, at most."`
+	} `cmd:"" help:"Begin a fleet. Said once, on one box."`
+	Recover struct {
+		Yes bool `name:"a-majority-is-lost-for-good" help:"Say that you know so."`
+	} `cmd:"" help:"Begin the ledger anew from what this box knows, when a majority of its voters is lost for good."`
+	Voters struct {
+		How   string   `arg:"" enum:"add,remove,replace" help:"add NAME NAME, remove NAME NAME, replace OLD NEW."`
+		Names []string `arg:"" help:"Boxes."`
+	} `cmd:"" help:"Change the boxes that agree. They change one at a time, each once it has caught up."`
+	Free struct {
+		Token uint64 `arg:"" help:"The lease's, as 'fleet leases' shows it."`
+		Yes   bool   `name:"its-box-does-not-act" help:"Say that you know so."`
+	} `cmd:"" help:"Give back a slot whose box is gone for good."`
+	Stop struct {
+		Token uint64 `arg:"" help:"The lease's, as 'fleet leases' shows it."`
+	} `cmd:"" help:"Ask a holder to stop early."`
+	Run struct {
+		Task     string        `arg:"" help:"The task's name."`
+		Slots    int           `default:"1" help:"How many boxes may do it at a time; the same on all boxes."`
+		Priority int           `default:"0" help:"Who waits with a higher one is served first."`
+		Wait     time.Duration `default:"0s" help:"For the slot; 0s waits as long as it takes."`
+		Grace    time.Duration `default:"2s" help:"Between the request to end and the end by force."`
+		Command  []string      `arg:"" passthrough:"" help:"What to run, after --."`
+	} `cmd:"" help:"Run a command as the one holder of a task. CAIRNLANE_TOKEN in its environment is the lease's token."`
+}
+
+// fleet carries out a command of the fleet.
+func (o *options) fleet(w io.Writer, name string, c control.FleetClient) error {
+	f := &o.Fleet
+	switch strings.Fields(name)[0] {
+	case "status":
+		s, err := c.Status()
+		if err = o.show(w, s, err, func(t io.Writer) {
+			fmt.Fprintf(t, "name\t%s\nfleet\t%s\nphase\t%s\nincarnation\t%d\nrole\t%s\nleader\t%s\nagrees\t%v\nvoters\t%s\nwanted voters\t%s\nera\t%d\nindex\t%d\ndigest\t%s\nterm\t%s\ndrift\t%v\ndisk\t%d KB\n",
+				s.Name, s.Fleet, s.Phase, s.Session, s.Role, s.Leader, s.Agrees, strings.Join(s.Voters, " "), strings.Join(s.Want, " "), s.Era, s.Index, s.Digest, s.Term, s.Drift, s.Disk>>10)
+			for _, l := range s.Links {
+				up := "down"
+				if l.Up {
+					up = "up " + l.For.Round(time.Second).String()
+				}
+				fmt.Fprintf(t, "link %s\t%s\t%s\t%s\n", l.Peer, l.Address, up, l.Failure)
+			}
+		}); err != nil {
+			return err
+		}
+		if s.Reason != "" {
+			return errors.New(s.Reason)
+		}
+		return nil
+	case "members":
+		l, err := c.Members()
+		return o.show(w, l, err, func(t io.Writer) {
+			fmt.Fprintln(t, "NAME\tSTATE\tVOTES\tINCARNATION\tBUILD")
+			for _, m := range l {
+				fmt.Fprintf(t, "%s\t%s\t%v\t%d\t%s\n", m.Name, m.State, m.Votes, m.Incarnation, m.Build)
+			}
+		})
+	case "leases":
+		l, err := c.Leases()
+		return o.show(w, l, err, func(t io.Writer) {
+			fmt.Fprintln(t, "TASK\tSLOTS\tBOX\tSTATE\tTOKEN\tPRIORITY")
+			for _, s := range l {
+				state := "held"
+				switch {
+				case s.Place > 0:
+					state = fmt.Sprintf("waits, place %d", s.Place)
+				case s.Orphan:
+					state = "its box is gone"
+				case s.Stop:
+					state = "asked to stop"
+				}
+				fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%d\t%d\n", s.Task, s.Slots, s.Box, state, s.Token, s.Priority)
+			}
+		})
+	case "init":
+		return c.Init(lease.Terms{Term: f.Init.Term, Drift: f.Init.Drift}, f.Init.Voters)
+	case "recover":
+		if !f.Recover.Yes {
+			return errors.New("if the lost voters come back there are two fleets for a while, and both may act; say --a-majority-is-lost-for-good if you know that they do not")
+		}
+		return c.Recover()
+	case "voters":
+		return c.ChangeVoters(f.Voters.How, f.Voters.Names)
+	case "free":
+		if !f.Free.Yes {
+			return errors.New("if the box still acts, two may act at once; say --its-box-does-not-act if you know that it does not")
+		}
+		return c.Free(f.Free.Token)
+	case "stop":
+		return c.StopEarly(f.Stop.Token)
+	case "run":
+		r := f.Run
+		argv := r.Command
+		if len(argv) > 0 && argv[0] == "--" {
+			argv = argv[1:]
+		}
+		if len(argv) == 0 {
+			return errors.New("no command; say it after --, as in: cairnctl fleet run export -- /usr/local/bin/export")
+		}
+		code := command.Run(c, command.Config{Request: lease.Request{Task: r.Task, Slots: r.Slots, Priority: r.Priority}, Wait: r.Wait, Grace: r.Grace, Command: argv, Now: clock.Boot, Stderr: os.Stderr})
+		if code != 0 {
+			return exitCode(code)
+		}
+		return nil
+	}
+	return fmt.Errorf("fleet %s is not known", name)
+}
+
+// exitCode is an error that has been told already.
+type exitCode int
+
+func (e exitCode) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
+
+const maintenancePoll = 500 * time.Millisecond
+
+// maintain takes the box out of service under a slot of its fleet, and waits its turn. done is false when the box is in no fleet.
+func (o *options) maintain(c control.FleetClient, what string) (done bool, err error) {
+	s, err := c.Status()
+	if err != nil && err.Error() == control.ErrNoFleet.Error() || err == nil && s.Fleet == "" { // in none, or in one that was not begun
+		return false, nil
+	}
+	if err != nil {
+		return true, err
+	}
+	hint := fmt.Sprintf("; '--force' does it all the same, at the risk that more boxes are out of service than may be: cairnctl %s --force", map[string]string{"drain": "drain on", "stop": "stop"}[what])
+	id, err := c.Maintain()
+	if err != nil {
+		return true, fmt.Errorf("%w%s", err, hint)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	told := -1
+	for {
+		r, err := c.Poll(id, maintenancePoll)
+		if err != nil {
+			return true, err
+		}
+		if r.Left > 0 {
+			return true, c.Enter(id, what)
+		}
+		if r.Word != lease.Asked.String() && r.Word != lease.Doubtful.String() {
+			return true, fmt.Errorf("maintenance is %s %s%s", r.Word, r.Why, hint)
+		}
+		if r.Place != told {
+			told = r.Place
+			if r.Place > 0 {
+				fmt.Fprintf(os.Stderr, "cairnctl: other boxes are out of service; place %d in the queue\n", r.Place)
+			} else {
+				fmt.Fprintln(os.Stderr, "cairnctl: waiting for the fleet to agree")
+			}
+		}
+		select {
+		case <-signals:
+			c.End(id)
+			return true, errors.New("no longer waiting; nothing was changed")
+		default:
+		}
+	}
+}
--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -38,9 +38,13 @@
 	Vars   struct{} `cmd:"" help:"The replica's figures: requests by class and outcome, tries, in progress."`
 	Drain  struct {
 		Switch string `arg:"" enum:"on,off" help:"on: have callers go elsewhere. off: have them back."`
-	} `cmd:"" help:"Drain the replica, or end the drain. It goes on running either way."`
-	Stop struct{} `cmd:"" help:"Have the daemon finish its work and end."`
-	Cert struct {
+		Force  bool   `help:"In a fleet: do not wait for a slot of maintenance. More boxes may then be out of service than are to be."`
+	} `cmd:"" help:"Drain the replica, or end the drain. It goes on running either way. In a fleet, on waits its turn."`
+	Stop struct {
+		Force bool `help:"In a fleet: do not wait for a slot of maintenance. More boxes may then be out of service than are to be."`
+	} `cmd:"" help:"Have the daemon finish its work and end. In a fleet it waits its turn."`
+	Fleet fleetOptions `cmd:"" help:"What several boxes agree on: who is there, who may act."`
+	Cert  struct {
 		Status  struct{} `cmd:"" help:"The certificates, their lifetimes and alarms."`
 		History named    `cmd:"" help:"What has happened to a certificate."`
 		Renew   named    `cmd:"" help:"Renew a certificate now, within the budget of orders."`
@@ -86,6 +90,10 @@
 	ctx, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
 	if err := o.run(ctx.Command(), parser.Model, os.Stdout); err != nil {
+		var code exitCode
+		if errors.As(err, &code) {
+			os.Exit(int(code))
+		}
 		fmt.Fprintln(os.Stderr, "cairnctl:", err)
 		os.Exit(1)
 	}
@@ -93,6 +101,9 @@
 
 func (o *options) run(command string, model *kong.Application, w io.Writer) error {
 	c := control.NewClient(o.Socket)
+	if name, ok := strings.CutPrefix(command, "fleet "); ok {
+		return o.fleet(w, name, c.Fleet())
+	}
 	switch command {
 	case "status":
 		s, err := c.Status()
@@ -112,8 +123,18 @@
 	case "vars":
 		return o.vars(w, c)
 	case "drain <switch>":
+		if o.Drain.Switch == "on" && !o.Drain.Force && o.Door == "" {
+			if done, err := o.maintain(c.Fleet(), "drain"); done {
+				return o.answer(w, err)
+			}
+		}
 		return o.answer(w, o.ask(c, "drain-"+o.Drain.Switch))
 	case "stop":
+		if !o.Stop.Force {
+			if done, err := o.maintain(c.Fleet(), "stop"); done {
+				return err
+			}
+		}
 		return c.Stop()
 	case "cert status":
 		l, err := c.Certificates()
--- a/cmd/cairnctl/main_test.go
+++ b/cmd/cairnctl/main_test.go
@@ -52,6 +52,8 @@
 func (b *box) Status() control.Status {
 	return control.Status{Name: "box1", Listen: "127.0.0.1:7001", Counters: map[string]int64{"answers_served": 7}}
 }
+func (b *box) Fleet() control.Fleet { return nil }
+
 func (b *box) Stop()                      { b.did("stop") }
 func (b *box) Operator() operator.Replica { return b }
 
--- a/cmd/cairnsite/main.go
+++ b/cmd/cairnsite/main.go
@@ -53,5 +53,5 @@
 	if err != nil {
 		return err
 	}
-	return daemon.Run(cfg.Replica, cfg.Site, box.Started, box)
+	return daemon.Run(cfg.Replica, cfg.Site, box.Started, box.Parts()...)
 }
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -40,6 +40,15 @@
 	http  net.Listener
 	ctl   *control.Server
 	stop  context.CancelFunc
+	fleet *Fleet // nil when the box is in none
+}
+
+// Parts are what the daemon is to start, in this order.
+func (b *Box) Parts() []daemon.Part {
+	if b.fleet == nil {
+		return []daemon.Part{b}
+	}
+	return []daemon.Part{b, b.fleet}
 }
 
 // New opens what outlives a restart, and fails before anything is served if it cannot be used.
@@ -49,6 +58,9 @@
 	if b.store, err = keystore.Open(faultfs.Disk{}, cfg.State); err != nil {
 		return nil, err
 	}
+	if cfg.Fleet != nil {
+		b.fleet = &Fleet{cfg: cfg, log: log}
+	}
 	if cfg.TLS == nil {
 		return b, nil
 	}
@@ -161,6 +173,11 @@
 
 // Started opens the control socket, once clients are taken.
 func (b *Box) Started(r *daemon.Replica) {
+	if b.fleet != nil {
+		b.fleet.mu.Lock()
+		b.fleet.replica = r
+		b.fleet.mu.Unlock()
+	}
 	var err error
 	if b.ctl, err = control.Listen(b.cfg.Control, &state{box: b, replica: r, since: time.Now()}); err != nil {
 		b.log.Error().Err(err).Msg("no control socket; cairnctl cannot reach this daemon")
@@ -211,7 +228,20 @@
 func (s *state) Stop() { s.replica.Drain() }
 
 // Operator implements control.Daemon.
-func (s *state) Operator() operator.Replica { return s.replica.Operator() }
+func (s *state) Operator() operator.Replica {
+	if s.box.fleet != nil {
+		return keeper{s.replica.Operator(), s.box.fleet}
+	}
+	return s.replica.Operator()
+}
+
+// Fleet implements control.Daemon.
+func (s *state) Fleet() control.Fleet {
+	if s.box.fleet == nil {
+		return nil
+	}
+	return s.box.fleet
+}
 
 // Certificates implements control.Daemon.
 func (s *state) Certificates() (list []certs.Status) {
--- a/internal/appliance/appliance_test.go
+++ b/internal/appliance/appliance_test.go
@@ -33,7 +33,7 @@
 	if err == nil {
 		var box *Box
 		if box, err = New(cfg, logging.Start(os.Stderr, logging.Config{})); err == nil {
-			err = daemon.Run(cfg.Replica, cfg.Site, box.Started, box)
+			err = daemon.Run(cfg.Replica, cfg.Site, box.Started, box.Parts()...)
 		}
 	}
 	fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/appliance/fleet.go
@@ -0,0 +1,240 @@
+package appliance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cairnlane/internal/clock"
+	"cairnlane/internal/config"
+	"cairnlane/internal/control"
+	"cairnlane/internal/counters"
+	"cairnlane/internal/daemon"
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet"
+	"cairnlane/internal/fleet/ledger"
+	"cairnlane/internal/front"
+	"cairnlane/internal/operator"
+)
+
+// Fleet is the box's part in its fleet. It implements daemon.Part and control.Fleet. Serving waits for none of it.
+type Fleet struct {
+	*fleet.Fleet
+	cfg  *config.Appliance
+	log  zerolog.Logger
+	desk *fleet.Desk
+	stop context.CancelFunc
+
+	mu      sync.Mutex
+	replica *daemon.Replica // once it serves
+	entered uint64          // the slot at the desk under which the box is out of service
+}
+
+// MaintenanceTask is the task whose slots are boxes out of service.
+const MaintenanceTask = "maintenance"
+
+// Build names the program's version, as its build information has it.
+func Build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	name := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 {
+			name = s.Value[:12]
+		}
+		if s.Key == "vcs.modified" && s.Value == "true" {
+			name += "+changed"
+		}
+	}
+	if name == "" {
+		return "unknown"
+	}
+	return name
+}
+
+// timing is how fast the box talks, from the time without a leader after which another one is elected.
+func timing(c *config.Fleet) ledger.Timing {
+	t := ledger.DefaultTiming
+	if c.ElectionMS > 0 {
+		t.Election = time.Duration(c.ElectionMS) * time.Millisecond
+		t.Beat, t.Poll = max(t.Election/10, 5*time.Millisecond), t.Election
+	}
+	return t
+}
+
+// Start implements daemon.Part.
+func (f *Fleet) Start(ctx context.Context, _ *front.Server, set *counters.Set) (err error) {
+	c := f.cfg.Fleet
+	f.Fleet, err = fleet.Open(fleet.Config{Name: f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
+		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
+	if err != nil {
+		return err
+	}
+	f.desk = fleet.NewDesk(f.Fleet, fleet.Groups{})
+	f.log.Info().Str("listen", f.Addr()).Msg("peers of the fleet may call")
+	ctx, f.stop = context.WithCancel(ctx)
+	go f.giveBack(ctx)
+	return nil
+}
+
+// Leave implements daemon.Part. The fleet is left last: what is under way may still need its leases.
+func (f *Fleet) Leave() {}
+
+// Close implements daemon.Part.
+func (f *Fleet) Close() {
+	if f.Fleet == nil {
+		return
+	}
+	f.stop()
+	f.desk.Close()
+	f.Fleet.Close()
+}
+
+// serving tells whether the replica takes clients and is to.
+func (f *Fleet) serving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica != nil && f.entered == 0 && f.replica.Operator().Ready() == nil && !f.replica.Drained() && !f.replica.Leaving()
+}
+
+// giveBack gives a slot of maintenance back that an earlier process of this box held, as soon as this one serves.
+func (f *Fleet) giveBack(ctx context.Context) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, t := range f.Taken() {
+			if ask, _, _ := t.Look(); ask.Task == MaintenanceTask && f.serving() {
+				f.log.Info().Uint64("token", ask.Token).Msg("back from maintenance; the slot is given back")
+				t.Release()
+			}
+		}
+	}
+}
+
+// Begin implements control.Fleet.
+func (f *Fleet) Begin(r lease.Request) (uint64, error) {
+	if r.Task == MaintenanceTask {
+		return 0, fmt.Errorf("%q is taken by 'cairnctl drain on' and 'cairnctl stop'", MaintenanceTask)
+	}
+	return f.desk.Begin(r)
+}
+
+// Poll, Command and End implement control.Fleet.
+func (f *Fleet) Poll(id uint64, wait time.Duration) (fleet.RunStatus, error) {
+	return f.desk.Poll(id, wait)
+}
+
+// Command says which process group acts under a slot.
+func (f *Fleet) Command(id uint64, pgid int) error { return f.desk.Command(id, pgid) }
+
+// End gives a slot back.
+func (f *Fleet) End(id uint64) error { return f.desk.End(id) }
+
+// Maintain implements control.Fleet.
+func (f *Fleet) Maintain() (uint64, error) {
+	f.mu.Lock()
+	entered := f.entered
+	f.mu.Unlock()
+	if entered != 0 {
+		return 0, errors.New("this box is out of service already")
+	}
+	return f.desk.Begin(lease.Request{Task: MaintenanceTask, Slots: f.cfg.Fleet.Maintenance, Sticky: true})
+}
+
+// Enter implements control.Fleet: the box goes out of service, and keeps its slot until it is back.
+func (f *Fleet) Enter(id uint64, what string) error {
+	s, err := f.desk.Poll(id, 0)
+	if err != nil {
+		return err
+	}
+	if s.Left <= 0 {
+		return fmt.Errorf("the slot is %s and may not be used now", s.Word)
+	}
+	f.mu.Lock()
+	r := f.replica
+	f.mu.Unlock()
+	if r == nil {
+		return errors.New("the replica does not serve yet")
+	}
+	if err := f.desk.Keep(id); err != nil {
+		return err
+	}
+	if what == "stop" {
+		r.Drain()
+	} else if err = r.Operator().Drain(true); err != nil {
+		f.desk.End(id)
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entered = id
+	return nil
+}
+
+// back gives the slot of maintenance back, once the box serves again.
+func (f *Fleet) back() {
+	f.mu.Lock()
+	id := f.entered
+	f.entered = 0
+	f.mu.Unlock()
+	if id != 0 {
+		f.desk.End(id)
+	}
+}
+
+// ChangeVoters implements control.Fleet.
+func (f *Fleet) ChangeVoters(how string, names []string) error {
+	return f.Voters(func(now []string) ([]string, error) {
+		next := slices.Clone(now)
+		for i, name := range names {
+			known := slices.Contains(now, name)
+			switch {
+			case how == "remove" || how == "replace" && i == 0:
+				if !known {
+					return nil, fmt.Errorf("%q is no voter; they are %v", name, now)
+				}
+				next = slices.DeleteFunc(next, func(n string) bool { return n == name })
+			case how != "add" && how != "replace":
+				return nil, fmt.Errorf("%q is none of add, remove, replace", how)
+			case known:
+				return nil, fmt.Errorf("%q is a voter already", name)
+			case f.cfg.Fleet.Addresses()[name] == "":
+				return nil, fmt.Errorf("%q is no box of this fleet's configuration", name)
+			default:
+				next = append(next, name)
+			}
+		}
+		return next, nil
+	})
+}
+
+// keeper is the replica's door in a fleet: what ends a drain gives the slot back.
+type keeper struct {
+	operator.Replica
+	fleet *Fleet
+}
+
+// Drain implements operator.Replica.
+func (k keeper) Drain(on bool) error {
+	err := k.Replica.Drain(on)
+	if err == nil && !on {
+		k.fleet.back()
+	}
+	return err
+}
+
+var _ control.Fleet = (*Fleet)(nil)
--- /dev/null
+++ b/internal/clock/skew_release.go
@@ -0,0 +1,7 @@
+//go:build !trial
+
+package clock
+
+import "time"
+
+func skew(t time.Duration) time.Duration { return t }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"cairnlane/internal/fleet/peer"
 	"cairnlane/internal/settings"
 )
 
@@ -29,6 +30,7 @@
 	Control string `hcl:"control,optional"`            // socket for cairnctl; in the state folder if not given
 	Log     *Log   `hcl:"log,block"`
 	TLS     *TLS   `hcl:"tls,block"`
+	Fleet   *Fleet `hcl:"fleet,block"`
 
 	Site *settings.Replica // read from Replica
 	Path string
@@ -74,6 +76,30 @@
 	Hosts []string `hcl:"hosts" validate:"required,min=1,max=100,unique,dive,fqdn"`
 }
 
+// Fleet is the fleet that the box is one of. The box's name in it is that of the site's settings.
+type Fleet struct {
+	Listen      string `hcl:"listen" validate:"required,address"`
+	KeyFile     string `hcl:"key_file" validate:"required"`                                   // a key a line, mode 0600; two during a change
+	Maintenance int    `hcl:"maintenance_slots,optional" validate:"omitempty,min=1,max=1000"` // boxes out of service at a time; 1 if not given
+	ElectionMS  int    `hcl:"election_ms,optional" validate:"omitempty,min=50,max=60000"`     // without a leader, before another one is elected
+	Peers       []Peer `hcl:"peer,block" validate:"required,min=1,max=1000,unique=Name,dive"`
+}
+
+// Peer is a box of the fleet. The box's own may be among them, so that all can have the same list.
+type Peer struct {
+	Name    string `hcl:"name,label" validate:"required,word"`
+	Address string `hcl:"address" validate:"required,address"`
+}
+
+// Addresses are the peers' by name.
+func (f *Fleet) Addresses() map[string]string {
+	m := map[string]string{}
+	for _, p := range f.Peers {
+		m[p.Name] = p.Address
+	}
+	return m
+}
+
 var word = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // hints say what would be right, by the check that failed.
@@ -218,11 +244,21 @@
 	if a.TLS != nil {
 		a.TLS.check(filepath.Dir(a.Path), wrong)
 	}
+	if a.Fleet != nil {
+		a.Fleet.KeyFile = relative(filepath.Dir(a.Path), a.Fleet.KeyFile)
+		if _, err := peer.LoadKeys(a.Fleet.KeyFile); err != nil {
+			wrong("Appliance.Fleet.KeyFile", "%v", err)
+		}
+		a.Fleet.Maintenance = max(a.Fleet.Maintenance, 1)
+	}
 	var err error
 	a.Replica = relative(filepath.Dir(a.Path), a.Replica) // it is read anew on SIGHUP
 	if a.Site, err = settings.Load(a.Replica); err != nil {
 		wrong("Appliance.Replica", "the site's settings: %v", err)
 	}
+	if a.Fleet != nil && a.Site != nil && !word.MatchString(a.Site.Name) {
+		wrong("Appliance.Fleet", "the box is named %q in the site's settings, which %s", a.Site.Name, hints["word"])
+	}
 	if a.State = relative(filepath.Dir(a.Path), a.State); a.Control == "" {
 		a.Control = filepath.Join(a.State, "control.sock")
 	} else {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, data := range map[string]string{"site.json": string(example), "root.pem": "x", "eab.key": "AAAAAAAAAAAAAAAAAAAAAAAAAAAA", "appliance.hcl": text} {
+	for name, data := range map[string]string{"site.json": string(example), "root.pem": "x", "eab.key": "AAAAAAAAAAAAAAAAAAAAAAAAAAAA",
+		"fleet.key": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\n", "short.key": "AAAA\n", "appliance.hcl": text} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(data), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -51,6 +52,17 @@
     hosts = ["site.example", "www.site.example"]
   }
 }
+
+fleet {
+  listen   = "127.0.0.1:7600"
+  key_file = "fleet.key"
+  peer "n0" {
+    address = "127.0.0.1:7600"
+  }
+  peer "n1" {
+    address = "127.0.0.1:7601"
+  }
+}
 `
 
 func TestAWholeConfiguration(t *testing.T) {
@@ -61,7 +73,7 @@
 	}
 	dir := filepath.Dir(path)
 	if a.State != filepath.Join(dir, "state") || a.Control != filepath.Join(dir, "state", "control.sock") || a.Site.Name != "n0" ||
-		a.TLS.Challenge != "tls-alpn-01" || a.TLS.Authorities[0].EAB.Key == "" || len(a.TLS.Certificates[0].Hosts) != 2 || a.TLS.Authorities[1].Name != "second" {
+		a.TLS.Challenge != "tls-alpn-01" || a.TLS.Authorities[0].EAB.Key == "" || len(a.TLS.Certificates[0].Hosts) != 2 || a.TLS.Authorities[1].Name != "second" || a.Fleet.Maintenance != 1 || a.Fleet.Addresses()["n1"] != "127.0.0.1:7601" {
 		t.Errorf("%+v %+v", a, a.TLS)
 	}
 }
@@ -86,6 +98,10 @@
 		"root":            {`"root.pem"`, `"none.pem"`, []string{`:16: `, "none.pem cannot be read"}},
 		"binding":         {`"eab.key"`, `"none.key"`, []string{`:19: `, "none.key"}},
 		"no certificates": {`certificate "site" {`, `certificates "site" {`, []string{`Unsupported block type`, `Did you mean "certificate"?`}},
+		"fleet key":       {`"fleet.key"`, `"none.key"`, []string{`:32: `, "none.key"}},
+		"short key":       {`"fleet.key"`, `"short.key"`, []string{`:32: fleet key: line 1 of`, "is not a key of 32 bytes in base64; make one with"}},
+		"peer twice":      {`peer "n1"`, `peer "n0"`, []string{`it must not name one twice`}},
+		"peer's address":  {`"127.0.0.1:7601"`, `"n1"`, []string{`:37: address is "n1", it must be host:port`}},
 		"http-01":         {`self_signed = true`, `challenge = "http-01"`, []string{`:11: http-01 needs http_listen`}},
 		"budget":          {`self_signed = true`, "orders_per_hour = 9\n orders_per_week = 3", []string{`orders_per_week is 3, it must be 9 at least`}},
 		"settings":        {`"site.json"`, `"none.json"`, []string{`:2: the site's settings`, "none.json"}},
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,6 +41,7 @@
 	History(name string) ([]keystore.Event, error)
 	Renew(name string) error
 	Revoke(ctx context.Context, name string, reason int) error
+	Fleet() Fleet // nil when the box is in none
 }
 
 // Server listens on a socket.
@@ -106,6 +107,7 @@
 		}
 		reply(w, struct{}{}, d.Revoke(r.Context(), r.PathValue("name"), reason))
 	})
+	fleetCalls(mux, d)
 	return mux
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,6 +80,13 @@
 	return s == lifecycle.Leaving || s == lifecycle.HandingOver
 }
 
+// Drained tells whether an operator has drained it.
+func (r *Replica) Drained() bool {
+	r.process.mu.Lock()
+	defer r.process.mu.Unlock()
+	return r.process.life.Drained()
+}
+
 // limit fits the runtime into the limits of the program.
 func limit(l settings.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -104,6 +104,9 @@
 	inTable bool
 }
 
+// Taken tells whether the slot was taken up from an earlier session of the box.
+func (a *Ask) Taken() bool { return a.taken }
+
 // Phase is how a box stands to its fleet.
 type Phase uint8
 
@@ -174,6 +177,9 @@
 // Session is the box's present one, 0 if there is none.
 func (h *Holder) Session() uint64 { return h.session }
 
+// Left tells whether the box has left, as far as it has to tell anybody.
+func (h *Holder) Left() bool { return h.phase == Gone && len(h.open) == 0 }
+
 // Until is before when, by its own clock, the box may act for the fleet.
 func (h *Holder) Until() time.Duration { return h.until }
 
@@ -244,6 +250,9 @@
 		h.make(now, Command{Kind: Part})
 	}
 	h.phase, h.until = Gone, 0
+	if h.session == 0 {
+		h.open = nil
+	}
 }
 
 // Drop forgets an ask that is over.
--- a/internal/decide/lease/judge.go
+++ b/internal/decide/lease/judge.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Silent is for how long this box has seen nothing of a session.
+func (j *Judge) Silent(now time.Duration, session uint64) time.Duration {
+	if s, ok := j.seen[session]; ok {
+		return now - s.at
+	}
+	return 0
+}
+
 // Forget has it judge from nothing, as at the start of a process.
 func (j *Judge) Forget() { *j = Judge{} }
 
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -111,6 +111,12 @@
 	Past  bool   `cbor:"6,keyasint"` // another process has joined under the name; this one may renew no more
 }
 
+// Ended is the last session of a box that has none.
+type Ended struct {
+	Session uint64 `cbor:"1,keyasint"`
+	Parted  bool   `cbor:"2,keyasint"` // it left in order; else it was not heard of for a term
+}
+
 // Lease is a slot that is held.
 type Lease struct {
 	Session  uint64 `cbor:"1,keyasint"`
@@ -163,12 +169,13 @@
 	Sessions map[uint64]*Session `cbor:"4,keyasint"`
 	Names    map[string]uint64   `cbor:"5,keyasint"` // the newest session of each box that has one
 	Tasks    map[string]*Task    `cbor:"6,keyasint"` // those that somebody holds or waits for
+	Left     map[string]Ended    `cbor:"8,keyasint"` // the last session of boxes that have none now
 	Closed   uint64              `cbor:"7,keyasint"` // not 0: nothing is granted until a judge opens; see Close
 }
 
 // NewTable returns an empty one.
 func NewTable(t Terms) *Table {
-	return &Table{Terms: t, Sessions: map[uint64]*Session{}, Names: map[string]uint64{}, Tasks: map[string]*Task{}}
+	return &Table{Terms: t, Sessions: map[uint64]*Session{}, Names: map[string]uint64{}, Tasks: map[string]*Task{}, Left: map[string]Ended{}}
 }
 
 // Why a command was turned down. The command has then changed nothing, but renewed its session if it has one.
@@ -196,7 +203,7 @@
 		if s.Seq != c.Seq {
 			return ErrRenewed
 		}
-		t.end(s)
+		t.end(s, false)
 		return nil
 	case Free:
 		return t.free(func(l Lease) bool { return l.Token == c.Token })
@@ -205,7 +212,7 @@
 			return ErrRenewed
 		}
 		t.Closed = 0
-		for _, name := range t.names() {
+		for _, name := range t.TaskNames() {
 			t.grant(name, t.Tasks[name])
 		}
 		return nil
@@ -231,7 +238,7 @@
 	case Stop:
 		return t.stop(c.Token)
 	case Part:
-		t.end(s)
+		t.end(s, true)
 		return nil
 	}
 	return ErrBad
@@ -255,7 +262,8 @@
 	}
 	t.Sessions[index] = &Session{ID: index, Box: c.Box, Nonce: c.Nonce, Try: c.Try, Build: c.Build}
 	t.Names[c.Box] = index
-	for _, name := range t.names() {
+	delete(t.Left, c.Box)
+	for _, name := range t.TaskNames() {
 		for i := range t.Tasks[name].Holders {
 			if l := &t.Tasks[name].Holders[i]; l.Orphan && l.Box == c.Box {
 				t.Token++
@@ -267,13 +275,16 @@
 }
 
 // end ends a session. What it held is free, but for what outlives it.
-func (t *Table) end(s *Session) {
+func (t *Table) end(s *Session, parted bool) {
 	delete(t.Sessions, s.ID)
 	if t.Names[s.Box] == s.ID {
 		delete(t.Names, s.Box)
+		if len(t.Left) < MaxSessions {
+			t.Left[s.Box] = Ended{s.ID, parted}
+		}
 	}
 	next := t.Sessions[t.Names[s.Box]] // of the same box, if another process has joined
-	for _, name := range t.names() {
+	for _, name := range t.TaskNames() {
 		task := t.Tasks[name]
 		task.Queue = slices.DeleteFunc(task.Queue, func(w Waiter) bool { return w.Session == s.ID })
 		kept := task.Holders[:0]
@@ -295,8 +306,8 @@
 	}
 }
 
-// names lists the tasks in one order on all boxes.
-func (t *Table) names() []string {
+// TaskNames lists the tasks in one order on all boxes.
+func (t *Table) TaskNames() []string {
 	names := make([]string, 0, len(t.Tasks))
 	for name := range t.Tasks {
 		names = append(names, name)
@@ -370,7 +381,7 @@
 	if ask == 0 {
 		return t.free(func(l Lease) bool { return l.Session == session && l.Token == token })
 	}
-	for _, name := range t.names() {
+	for _, name := range t.TaskNames() {
 		task := t.Tasks[name]
 		n := len(task.Queue)
 		task.Queue = slices.DeleteFunc(task.Queue, func(w Waiter) bool { return w.Session == session && w.Ask == ask })
@@ -385,7 +396,7 @@
 // free takes the slots away that a test names.
 func (t *Table) free(is func(Lease) bool) error {
 	err := ErrNotHeld
-	for _, name := range t.names() {
+	for _, name := range t.TaskNames() {
 		task := t.Tasks[name]
 		n := len(task.Holders)
 		task.Holders = slices.DeleteFunc(task.Holders, is)
@@ -419,6 +430,7 @@
 // Clone returns a copy that shares nothing.
 func (t *Table) Clone() *Table {
 	c := *t
+	c.Left = maps.Clone(t.Left)
 	c.Sessions, c.Names, c.Tasks = make(map[uint64]*Session, len(t.Sessions)), maps.Clone(t.Names), make(map[string]*Task, len(t.Tasks))
 	for id, s := range t.Sessions {
 		n := *s
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -3,8 +3,10 @@
 package fleet
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cairnlane/internal/decide/lease"
@@ -149,6 +151,9 @@
 	}
 	list, next := n.holder.Due(now)
 	n.next = min(n.next, next)
+	if until := n.holder.Until(); until > now {
+		n.next = min(n.next, until) // whoever acts is to know in time
+	}
 	if n.ledger.Leads(now) {
 		ends, next := n.judge.Due(now, state.Table)
 		n.next = min(n.next, next)
@@ -158,6 +163,54 @@
 	return len(list) > 0
 }
 
+// Members lists the boxes that the ledger knows of, by name.
+func (n *Node) Members(now time.Duration) (list []Member) {
+	t := n.ledger.State().Table
+	voters := n.ledger.State().Voters
+	for name, id := range t.Names {
+		s := t.Sessions[id]
+		m := Member{Name: name, Incarnation: id, Build: s.Build, State: There}
+		if n.judge.Silent(now, id) > t.Terms.Term/2 {
+			m.State = Suspected
+		}
+		list = append(list, m)
+	}
+	for name, e := range t.Left {
+		m := Member{Name: name, Incarnation: e.Session, State: Dead}
+		if e.Parted {
+			m.State = Left
+		}
+		list = append(list, m)
+	}
+	for i := range list {
+		if v, ok := voters[list[i].Name]; ok {
+			list[i].Votes = !v.Learner
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Presence is how a box stands, as the fleet knows.
+type Presence string
+
+// How a box may stand.
+const (
+	There     Presence = "there"
+	Suspected Presence = "suspected" // nothing was seen of it for half a term, here
+	Dead      Presence = "dead"      // its session was ended, as nothing was heard for a term
+	Left      Presence = "left"      // it ended its session itself
+)
+
+// Member is a box of the fleet.
+type Member struct {
+	Name        string   `json:"name"`
+	Incarnation uint64   `json:"incarnation"`
+	Build       string   `json:"build,omitempty"`
+	State       Presence `json:"state"`
+	Votes       bool     `json:"votes"`
+}
+
 // Acquire asks for a slot.
 func (n *Node) Acquire(now time.Duration, r lease.Request) (*lease.Ask, error) {
 	if n.ledger.State().Fleet == 0 {
@@ -201,6 +254,9 @@
 	n.turn(now)
 }
 
+// Left tells whether the fleet knows that this box has left, or need not.
+func (n *Node) Left() bool { return n.ledger.State().Fleet == 0 || n.holder.Left() }
+
 // Init, Recover and Want are an operator's; see the ledger's.
 func (n *Node) Init(now time.Duration, terms lease.Terms, voters []string) error {
 	err := n.ledger.Init(now, terms, voters)
