Start every second process through one rig, with relays and faults as values

The trial of replacements had a process runner and a load of its own; trials of a fleet need the same and faults between processes.

--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -48,9 +48,12 @@
 	if b.fleet == nil {
 		return []daemon.Part{b}
 	}
-	return []daemon.Part{b, b.fleet}
+	return append([]daemon.Part{b, b.fleet}, b.trialParts()...)
 }
 
+// Fleet is the box's part in its fleet, nil when it is in none.
+func (b *Box) Fleet() *Fleet { return b.fleet }
+
 // New opens what outlives a restart, and fails before anything is served if it cannot be used.
 func New(cfg *config.Appliance, log zerolog.Logger) (*Box, error) {
 	b := &Box{cfg: cfg, log: log}
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -86,6 +86,9 @@
 	return nil
 }
 
+// Running is the fleet once the part has been started.
+func (f *Fleet) Running() *fleet.Fleet { return f.Fleet }
+
 // Leave implements daemon.Part. The fleet is left last: what is under way may still need its leases.
 func (f *Fleet) Leave() {}
 
--- a/internal/handover/replace/process.go
+++ b/internal/handover/replace/process.go
@@ -5,74 +5,35 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/standin/engine"
+	"slices"
 )
 
 // process is one process of the replica.
 type process struct {
-	cmd    *exec.Cmd
+	*rig.Process
 	path   string // of its configuration
 	door   string
 	engine *engine.Address
-	out    *output
-	ended  chan struct{}
-	err    error
-}
-
-// output keeps the end of what a process prints.
-type output struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (o *output) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.buf.Len() > 64<<10 {
-		o.buf.Next(32 << 10)
-	}
-	return o.buf.Write(p)
-}
-
-func (p *process) log() string {
-	p.out.mu.Lock()
-	defer p.out.mu.Unlock()
-	return p.out.buf.String()
-}
-
-func (p *process) kill() {
-	p.cmd.Process.Kill()
-	<-p.ended
-}
-
-// freeAddr finds an address that nobody listens at.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
 }
 
 // start starts a process beside those that are there: same folder, same listening socket, its own door and engine.
 func (w *world) start() (*process, error) {
-	p := &process{out: new(output), ended: make(chan struct{})}
+	p := new(process)
 	var err error
 	if p.engine, err = w.engine.Listen(); err != nil {
 		return nil, err
 	}
-	if p.door, err = freeAddr(); err != nil {
+	if p.door, err = rig.FreeAddr(); err != nil {
 		return nil, err
 	}
 	w.n++
@@ -89,29 +50,21 @@
 		return nil, err
 	}
 	defer f.Close()
-	p.cmd = exec.Command(w.cfg.Command[0], w.cfg.Command[1:]...)
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_CONTROL="+p.door, "RELAY_INHERITED_FD=3", "TMPDIR="+tmp)
-	p.cmd.ExtraFiles = []*os.File{f}
-	p.cmd.Stderr = p.out
-	if err := p.cmd.Start(); err != nil {
-		return nil, err
-	}
+	cmd := exec.Command(w.cfg.Command[0], w.cfg.Command[1:]...)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_CONTROL="+p.door, "RELAY_INHERITED_FD=3", "TMPDIR="+tmp)
+	cmd.ExtraFiles = []*os.File{f}
 	w.mu.Lock()
-	w.alive = append(w.alive, p)
-	w.mu.Unlock()
-	go func() {
-		p.err = p.cmd.Wait()
+	defer w.mu.Unlock()
+	p.Process, err = rig.Start(cmd, func(*rig.Process) {
 		w.mu.Lock()
-		for i, o := range w.alive {
-			if o == p {
-				w.alive = append(w.alive[:i], w.alive[i+1:]...)
-				break
-			}
-		}
-		w.mu.Unlock()
+		defer w.mu.Unlock()
+		w.alive = slices.DeleteFunc(w.alive, func(o *process) bool { return o == p })
 		p.engine.Close()
-		close(p.ended)
-	}()
+	})
+	if err != nil {
+		return nil, err
+	}
+	w.alive = append(w.alive, p)
 	return p, nil
 }
 
@@ -162,7 +115,7 @@
 			return true
 		}
 		select {
-		case <-p.ended:
+		case <-p.Ended():
 			return false
 		case <-time.After(2 * time.Millisecond):
 		}
@@ -175,7 +128,7 @@
 	w.fig.Kills++
 	w.kills.Add(1)
 	w.dying.Store(true)
-	p.kill()
+	p.Kill()
 	w.killed.Store(time.Now().UnixNano())
 	w.dying.Store(false)
 }
@@ -215,7 +168,7 @@
 		w.strike(old)
 	}
 	if !w.ready(next) {
-		return fmt.Errorf("replacement %d: the new process does not take clients: %v %s", w.fig.Replacements, next.err, next.log())
+		return fmt.Errorf("replacement %d: the new process does not take clients: %v %s", w.fig.Replacements, next.Err(), next.Log())
 	}
 	switch kill {
 	case oldBeforeYes:
@@ -231,7 +184,7 @@
 		return nil
 	}
 	began := time.Now()
-	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	if err := old.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	if kill == oldAfterTerm {
@@ -240,17 +193,17 @@
 		return nil
 	}
 	select {
-	case <-old.ended:
+	case <-old.Ended():
 		w.fig.HandOverMost = max(w.fig.HandOverMost, time.Since(began))
 	case <-time.After(deadline + killRest):
 		atomic.AddInt64(&w.fig.Exits, 1)
-		w.fig.note("the old process had to be killed: %s", old.log())
+		w.fig.note("the old process had to be killed: %s", old.Log())
 		w.strike(old)
 		return nil
 	}
-	if old.err != nil || !bytes.Contains([]byte(old.log()), []byte("invariants_broken=0")) {
+	if old.Err() != nil || !bytes.Contains([]byte(old.Log()), []byte("invariants_broken=0")) {
 		atomic.AddInt64(&w.fig.Exits, 1)
-		w.fig.note("the old process ended with %v: %s", old.err, old.log())
+		w.fig.note("the old process ended with %v: %s", old.Err(), old.Log())
 	}
 	return nil
 }
--- a/internal/handover/replace/replace.go
+++ b/internal/handover/replace/replace.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/standin/catalog"
 	"cairnlane/internal/standin/engine"
@@ -33,28 +34,23 @@
 
 // Figures are what a trial came to.
 type Figures struct {
-	Replacements, Kills, GivenUp         int
-	Requests, Killed                     int64
-	Served, Refused, Failed              int64
-	Lost, EndedTwice, DoubleRuns, Wrong  int64
-	TurnedBack, Late                     int64
-	DescriptorsMax, Limit                int
-	Checks, HealthGaps                   int64
-	FiguresWrong, Exits                  int64
-	ReadyMost, DoorMost, HandOverMost    time.Duration
-	Repeats, RepeatsServed, DrainsMissed int64
-	Took                                 time.Duration
-	Notes                                []string
-	mu                                   sync.Mutex
+	rig.Tally
+	Replacements, Kills, GivenUp      int
+	DescriptorsMax, Limit             int
+	Checks, HealthGaps                int64
+	FiguresWrong, Exits               int64
+	ReadyMost, DoorMost, HandOverMost time.Duration
+	Took                              time.Duration
+	Notes                             []string
+	mu                                sync.Mutex
 }
 
 // The bounds of the platform.
 const (
-	readyTime  = 6 * time.Second
-	deadline   = 800 * time.Millisecond // the longest of the trial's classes
-	killRest   = 700 * time.Millisecond
-	answerRest = 110 * time.Millisecond // the slack of the rules on sockets
-	doorTime   = time.Second
+	readyTime = 6 * time.Second
+	deadline  = 800 * time.Millisecond // the longest of the trial's classes
+	killRest  = 700 * time.Millisecond
+	doorTime  = time.Second
 )
 
 // world is a replica's surroundings.
@@ -65,15 +61,12 @@
 	ln      *net.TCPListener
 	engine  *engine.Engine
 	catalog *catalog.Catalog
-	routers []*router.Router
+	load    *rig.Load
 	stop    atomic.Bool
 	kills   atomic.Int64 // processes killed so far; a request open across one may be lost with it
 	dying   atomic.Bool  // one is being killed
 	killed  atomic.Int64 // when the last one had ended
 	wait    sync.WaitGroup
-	txns    atomic.Uint64
-	bodies  sync.Map // of keyed requests
-	slots   chan struct{}
 	began   time.Time
 	drained atomic.Bool // by the operator: health is to be bad
 	pause   atomic.Bool // a drain begins or ends: health may be either
@@ -103,7 +96,7 @@
 			return nil, err
 		}
 		if cfg.Progress != nil && w.fig.Replacements%20 == 0 {
-			fmt.Fprintf(cfg.Progress, "%d replacements, %d kills, %d requests\n", w.fig.Replacements, w.fig.Kills, atomic.LoadInt64(&w.fig.Requests))
+			fmt.Fprintf(cfg.Progress, "%d replacements, %d kills, %d requests\n", w.fig.Replacements, w.fig.Kills, atomic.LoadInt64(&w.load.Requests))
 		}
 	}
 	return w.finish(), nil
@@ -111,7 +104,7 @@
 
 // begin starts the surroundings, the first process and the load. Whoever has begun a world ends it.
 func begin(cfg Config) (*world, error) {
-	w := &world{cfg: cfg, fig: &Figures{Limit: cfg.Sockets}, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), slots: make(chan struct{}, 48), began: time.Now()}
+	w := &world{cfg: cfg, fig: &Figures{Limit: cfg.Sockets}, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), began: time.Now()}
 	work := rand.New(rand.NewPCG(cfg.Seed, 2))
 	var workMu sync.Mutex
 	w.engine = engine.New(func(string) time.Duration {
@@ -128,24 +121,21 @@
 		ln.Close()
 		return nil, err
 	}
-	for i := range 4 {
-		w.routers = append(w.routers, &router.Router{Addr: ln.Addr().String(), Number: i, Twice: func(seq int32) {
-			atomic.AddInt64(&w.fig.EndedTwice, 1)
-			w.fig.note("an answer to call %d that nobody waits for", seq)
-		}})
+	w.load = &rig.Load{Seed: cfg.Seed, Limit: deadline * 3 / 4, Pause: 8 * time.Millisecond, Spread: true, Engines: func() []*engine.Engine { return []*engine.Engine{w.engine} },
+		Excused: func(_ int, began time.Time) bool { return w.dying.Load() || began.UnixNano() <= w.killed.Load() }}
+	for range 4 {
+		w.load.Routers = append(w.load.Routers, &router.Router{Addr: ln.Addr().String()})
 	}
 	first, err := w.start()
 	if err == nil && !w.ready(first) {
-		err = fmt.Errorf("the first process does not take clients: %s", first.log())
+		err = fmt.Errorf("the first process does not take clients: %s", first.Log())
 	}
 	if err != nil {
 		w.end()
 		return nil, err
 	}
-	w.wait.Add(len(w.routers) + 2)
-	for i := range w.routers {
-		go w.load(i)
-	}
+	w.load.Begin()
+	w.wait.Add(2)
 	go w.health()
 	go w.watch()
 	return w, nil
@@ -155,6 +145,9 @@
 func (w *world) finish() *Figures {
 	w.stop.Store(true)
 	w.wait.Wait()
+	w.load.End()
+	w.fig.Tally = w.load.Tally
+	w.fig.Notes = append(w.fig.Notes, w.load.Notes()...)
 	w.settle()
 	w.fig.Took = time.Since(w.began)
 	return w.fig
@@ -167,24 +160,14 @@
 	left := w.alive
 	w.mu.Unlock()
 	for _, p := range left {
-		p.kill()
-	}
-	for _, r := range w.routers {
-		r.Close()
+		p.Kill()
 	}
 	w.catalog.Close()
 	w.ln.Close()
 }
 
-// settle compares the last process's figures with each other and counts the runs of every keyed request.
+// settle compares the last process's figures with each other.
 func (w *world) settle() {
-	w.bodies.Range(func(body, _ any) bool {
-		if n := w.engine.Ran(body.(string)); n > 1 {
-			w.fig.DoubleRuns++
-			w.fig.note("%s ran %d times", body, n)
-		}
-		return true
-	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.alive {
@@ -196,91 +179,6 @@
 	}
 }
 
-// load has one router send requests, a third of them keyed, and some of those several times over.
-func (w *world) load(i int) {
-	defer w.wait.Done()
-	src := rand.New(rand.NewPCG(w.cfg.Seed, uint64(10+i)))
-	var open sync.WaitGroup
-	for !w.stop.Load() {
-		q := router.Request{Class: "segment-fetch", Tenant: "riverside-uni", Limit: deadline * 3 / 4}
-		tries := 1
-		if src.IntN(3) == 0 {
-			q.Class, q.Unique = "note-save", fmt.Sprintf("%032x", w.txns.Add(1))
-			if src.IntN(2) == 0 {
-				tries += 1 + src.IntN(2)
-			}
-		}
-		q.Body = fmt.Sprintf("body %d of router %d", w.txns.Add(1), i)
-		if q.Unique != "" {
-			w.bodies.Store(q.Body, true)
-		}
-		for n := range tries {
-			q.Retry = n > 0
-			w.send(w.routers[(i+n*(1+src.IntN(3)))%len(w.routers)], q, &open)
-			if n+1 < tries && src.IntN(2) == 0 {
-				time.Sleep(time.Duration(src.IntN(40)) * time.Millisecond)
-			}
-		}
-		time.Sleep(time.Duration(src.ExpFloat64() * float64(8*time.Millisecond)))
-	}
-	open.Wait()
-}
-
-func (w *world) send(r *router.Router, q router.Request, open *sync.WaitGroup) {
-	q.Txn = fmt.Sprintf("%016x", w.txns.Add(1))
-	w.slots <- struct{}{}
-	open.Add(1)
-	atomic.AddInt64(&w.fig.Requests, 1)
-	if q.Retry {
-		atomic.AddInt64(&w.fig.Repeats, 1)
-	}
-	began, kills := time.Now(), w.kills.Load()
-	var ends atomic.Int64
-	r.Send(q, func(o router.Outcome) {
-		if ends.Add(1) > 1 {
-			atomic.AddInt64(&w.fig.EndedTwice, 1)
-			return
-		}
-		w.judge(q, o, began, kills)
-		<-w.slots
-		open.Done()
-	})
-}
-
-// judge counts the outcome of a try. What was open when a process was killed is counted apart.
-func (w *world) judge(q router.Request, o router.Outcome, began time.Time, kills int64) {
-	f := w.fig
-	if o.Took > q.Limit+answerRest {
-		atomic.AddInt64(&f.Late, 1)
-		f.note("%s %s answered after %v", q.Class, q.Txn, o.Took)
-	}
-	switch o.End {
-	case router.Served:
-		atomic.AddInt64(&f.Served, 1)
-		if q.Retry {
-			atomic.AddInt64(&f.RepeatsServed, 1)
-		}
-		if o.Body != "did "+q.Body {
-			atomic.AddInt64(&f.Wrong, 1)
-			f.note("%s got %q", q.Body, o.Body)
-		}
-	case router.Refused:
-		atomic.AddInt64(&f.Refused, 1)
-	case router.Failed:
-		atomic.AddInt64(&f.Failed, 1)
-	default:
-		if kills != w.kills.Load() || w.dying.Load() || began.UnixNano() <= w.killed.Load() {
-			atomic.AddInt64(&f.Killed, 1)
-		} else if o.End == router.TurnedBack {
-			atomic.AddInt64(&f.TurnedBack, 1)
-			f.note("%s was turned back", q.Txn)
-		} else {
-			atomic.AddInt64(&f.Lost, 1)
-			f.note("%s %s was lost after %v", q.Class, q.Txn, o.Took)
-		}
-	}
-}
-
 // health asks as the platform does. Nothing in a replacement may make the replica leave the list.
 func (w *world) health() {
 	defer w.wait.Done()
@@ -309,7 +207,7 @@
 		w.mu.Lock()
 		n := 0
 		for _, p := range w.alive {
-			if list, err := os.ReadDir(filepath.Join("/proc", fmt.Sprint(p.cmd.Process.Pid), "fd")); err == nil {
+			if list, err := os.ReadDir(filepath.Join("/proc", fmt.Sprint(p.Pid()), "fd")); err == nil {
 				n += len(list)
 			}
 		}
--- a/internal/handover/replace/replace_test.go
+++ b/internal/handover/replace/replace_test.go
@@ -52,7 +52,7 @@
 	old := w.alive[0]
 	next, err := w.start()
 	if err != nil || !w.ready(next) {
-		t.Fatal(err, next.log())
+		t.Fatal(err, next.Log())
 	}
 	call := func(p *process, call string) {
 		t.Helper()
@@ -61,7 +61,7 @@
 		}
 	}
 	says := func(p *process, words string) func() bool {
-		return func() bool { return strings.Contains(p.log(), words) }
+		return func() bool { return strings.Contains(p.Log(), words) }
 	}
 	checks := func() { // by whichever process takes them
 		n := atomic.LoadInt64(&w.fig.Checks)
@@ -82,7 +82,7 @@
 		if err := w.configure(p); err != nil {
 			t.Fatal(err)
 		}
-		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.Signal(syscall.SIGHUP)
 		until(t, "the new configuration", says(p, "configuration read anew"))
 	}
 	w.pause.Store(true)
@@ -91,10 +91,10 @@
 	w.drained.Store(false)
 	w.pause.Store(false)
 	checks()
-	old.cmd.Process.Signal(syscall.SIGTERM)
-	<-old.ended
-	if !strings.Contains(old.log(), "is handing over") || old.err != nil {
-		t.Errorf("the old process ended with %v: %s", old.err, old.log())
+	old.Signal(syscall.SIGTERM)
+	<-old.Ended()
+	if !strings.Contains(old.Log(), "is handing over") || old.Err() != nil {
+		t.Errorf("the old process ended with %v: %s", old.Err(), old.Log())
 	}
 	f := w.finish()
 	if missed := f.Missed(); len(missed) > 0 {
@@ -174,7 +174,7 @@
 // cpu tells the processor time of a process.
 func cpu(t *testing.T, p *process) time.Duration {
 	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/lab/actor/part.go
@@ -0,0 +1,53 @@
+package actor
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+
+	"cairnlane/internal/counters"
+	"cairnlane/internal/fleet"
+	"cairnlane/internal/front"
+)
+
+// The environment of a box that acts in a trial.
+const (
+	EnvResource = "CAIRNLANE_TRIAL_RESOURCE"
+	EnvThings   = "CAIRNLANE_TRIAL_THINGS"
+	EnvSeed     = "CAIRNLANE_TRIAL_SEED"
+)
+
+// Part has a box act as its environment says. It implements daemon.Part and is started after the fleet.
+type Part struct {
+	Box   string
+	Fleet func() *fleet.Fleet
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// Start implements daemon.Part.
+func (p *Part) Start(ctx context.Context, _ *front.Server, _ *counters.Set) error {
+	p.ended = make(chan struct{})
+	ctx, p.stop = context.WithCancel(ctx)
+	at := os.Getenv(EnvResource)
+	if at == "" {
+		close(p.ended)
+		return nil
+	}
+	seed, _ := strconv.ParseUint(os.Getenv(EnvSeed), 10, 64)
+	go func() {
+		defer close(p.ended)
+		Run(ctx, p.Fleet(), Config{Box: p.Box, Resource: at, Things: strings.Split(os.Getenv(EnvThings), ","), Seed: seed})
+	}()
+	return nil
+}
+
+// Leave implements daemon.Part.
+func (p *Part) Leave() {}
+
+// Close implements daemon.Part.
+func (p *Part) Close() {
+	p.stop()
+	<-p.ended
+}
--- /dev/null
+++ b/internal/lab/rig/fault_test.go
@@ -0,0 +1,108 @@
+package rig
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestASchedulePrintsAndReadsTheSame(t *testing.T) {
+	s := Draw(rand.New(rand.NewPCG(1, 2)), Kinds, 60, 7, time.Minute)
+	if again := Draw(rand.New(rand.NewPCG(1, 2)), Kinds, 60, 7, time.Minute); !reflect.DeepEqual(s, again) {
+		t.Error("a seed does not repeat")
+	}
+	seen := map[Kind]int{}
+	for _, f := range s {
+		seen[f.Kind]++
+	}
+	for _, k := range Kinds {
+		if seen[k] < 2 {
+			t.Errorf("%s comes %d times in 60", k, seen[k])
+		}
+	}
+	back, err := Parse("# a comment\n" + s.String())
+	if err != nil || !reflect.DeepEqual(back, s) {
+		t.Errorf("%v\n%v", err, back)
+	}
+	for _, bad := range []string{"1s kill 1 2", "1s nothing 1 2 3s", "x kill 1 2 3s", "1s kill a 2 3s"} {
+		if _, err := Parse(bad); err == nil {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
+
+func TestAFailingScheduleIsMadeSmaller(t *testing.T) {
+	s := Draw(rand.New(rand.NewPCG(3, 4)), Kinds, 40, 5, time.Minute)
+	need := []Fault{s[7], s[23]}
+	got := Shrink(s, func(s Schedule) bool { return slices.Contains(s, need[0]) && slices.Contains(s, need[1]) })
+	if !reflect.DeepEqual(got, Schedule(need)) {
+		t.Errorf("%v", got)
+	}
+}
+
+// TestARelayDoesWhatItsScriptSays, a direction at a time.
+func TestARelayDoesWhatItsScriptSays(t *testing.T) {
+	n := NewNet()
+	defer n.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	addr, err := n.Relay(0, 1, func() string { return ln.Addr().String() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := func() (net.Conn, net.Conn) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, o
+	}
+	read := func(c net.Conn, want string) {
+		t.Helper()
+		buf := make([]byte, len(want))
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.ReadFull(c, buf); err != nil || string(buf) != want {
+			t.Fatalf("%q, %v; want %q", buf, err, want)
+		}
+	}
+	c, o := open()
+	io.WriteString(c, "there")
+	read(o, "there")
+	n.Set(0, 1, func(f *Flow) { f.Cut = true })
+	io.WriteString(c, "lost")
+	io.WriteString(o, "back") // the other direction goes on
+	read(c, "back")
+	n.Set(0, 1, func(f *Flow) { *f = Flow{Hold: true} })
+	io.WriteString(c, "held")
+	n.Set(0, 1, func(f *Flow) { f.Hold = false })
+	read(o, "held") // and nothing of what was lost
+	n.Set(1, 0, func(f *Flow) { f.Delay = 50 * time.Millisecond })
+	began := time.Now()
+	io.WriteString(o, "late")
+	if read(c, "late"); time.Since(began) < 50*time.Millisecond {
+		t.Error("not delayed")
+	}
+	n.Set(0, 1, func(f *Flow) { f.Break = true })
+	io.WriteString(c, "frame!")
+	read(o, "fra")
+	if k, err := o.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes after the break", k)
+	}
+	n.Set(0, 1, func(f *Flow) { *f = Flow{Refuse: true} })
+	if c, err = net.Dial("tcp", addr); err == nil {
+		if _, err = c.Read(make([]byte, 1)); err == nil {
+			t.Error("not refused")
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/load.go
@@ -0,0 +1,192 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cairnlane/internal/standin/engine"
+	"cairnlane/internal/standin/router"
+)
+
+// Load has routers send requests to replicas without pause, a third of them keyed and some of those several times over, and
+// counts what the rules forbid.
+type Load struct {
+	Seed    uint64
+	Routers []*router.Router
+	Limit   time.Duration // of a request
+	Pause   time.Duration // between two requests of a router, on average
+	Spread  bool          // repeats go over other routers; else a router stands for a replica of its own
+	// Excused tells whether what a router had open from then until now is lost with a process that was killed or stopped.
+	Excused func(router int, began time.Time) bool
+	Engines func() []*engine.Engine
+
+	Tally
+	txns   atomic.Uint64
+	bodies sync.Map // of keyed requests; false once a process that had one was killed
+	slots  chan struct{}
+	stop   atomic.Bool
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	notes  []string
+}
+
+// Tally is what came of a load.
+type Tally struct {
+	Requests, Killed             int64
+	Served, Refused, Failed      int64
+	Lost, EndedTwice, Wrong      int64
+	TurnedBack, Late, DoubleRuns int64
+	Repeats, RepeatsServed       int64
+}
+
+// answerRest is the slack of the rules on sockets.
+const answerRest = 110 * time.Millisecond
+
+const openMost = 48
+
+// Begin starts it.
+func (l *Load) Begin() {
+	l.slots = make(chan struct{}, openMost*max(1, len(l.Routers)/4))
+	for i, r := range l.Routers {
+		r.Number = i
+		r.Twice = func(seq int32) {
+			atomic.AddInt64(&l.EndedTwice, 1)
+			l.Note("an answer to call %d that nobody waits for", seq)
+		}
+	}
+	for i := range l.Routers {
+		l.wait.Go(func() { l.send(i) })
+	}
+}
+
+// Note keeps what a reader of the figures should know.
+func (l *Load) Note(format string, a ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.notes) < 20 {
+		l.notes = append(l.notes, fmt.Sprintf(format, a...))
+	}
+}
+
+// Notes are those that were kept.
+func (l *Load) Notes() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.notes
+}
+
+// End stops it, waits until every request has ended and counts the runs of every keyed one.
+func (l *Load) End() {
+	if l.stop.Swap(true) {
+		return
+	}
+	l.wait.Wait()
+	for _, r := range l.Routers {
+		r.Close()
+	}
+	l.bodies.Range(func(body, whole any) bool {
+		n := 0
+		for _, e := range l.Engines() {
+			n += e.Ran(body.(string))
+		}
+		if n > 1 && whole.(bool) {
+			l.DoubleRuns++
+			l.Note("%s ran %d times", body, n)
+		}
+		return true
+	})
+}
+
+func (l *Load) send(i int) {
+	src := rand.New(rand.NewPCG(l.Seed, uint64(10+i)))
+	var open sync.WaitGroup
+	for !l.stop.Load() {
+		q := router.Request{Class: "segment-fetch", Tenant: "riverside-uni", Limit: l.Limit}
+		tries := 1
+		if src.IntN(3) == 0 {
+			q.Class, q.Unique = "note-save", fmt.Sprintf("%032x", l.txns.Add(1))
+			if src.IntN(2) == 0 {
+				tries += 1 + src.IntN(2)
+			}
+		}
+		q.Body = fmt.Sprintf("body %d of router %d", l.txns.Add(1), i)
+		if q.Unique != "" {
+			l.bodies.Store(q.Body, true)
+		}
+		for n := range tries {
+			q.Retry = n > 0
+			to, step := i, n*(1+src.IntN(3))
+			if l.Spread {
+				to = (i + step) % len(l.Routers)
+			}
+			l.try(to, q, &open)
+			if n+1 < tries && src.IntN(2) == 0 {
+				time.Sleep(time.Duration(src.IntN(40)) * time.Millisecond)
+			}
+		}
+		time.Sleep(time.Duration(src.ExpFloat64() * float64(l.Pause)))
+	}
+	open.Wait()
+}
+
+func (l *Load) try(to int, q router.Request, open *sync.WaitGroup) {
+	q.Txn = fmt.Sprintf("%016x", l.txns.Add(1))
+	l.slots <- struct{}{}
+	open.Add(1)
+	atomic.AddInt64(&l.Requests, 1)
+	if q.Retry {
+		atomic.AddInt64(&l.Repeats, 1)
+	}
+	began := time.Now()
+	var ends atomic.Int64
+	l.Routers[to].Send(q, func(o router.Outcome) {
+		if ends.Add(1) > 1 {
+			atomic.AddInt64(&l.EndedTwice, 1)
+			return
+		}
+		l.judge(to, q, o, began)
+		<-l.slots
+		open.Done()
+	})
+}
+
+// judge counts the outcome of a try. What was open when a process was killed is counted apart.
+func (l *Load) judge(to int, q router.Request, o router.Outcome, began time.Time) {
+	excused := l.Excused(to, began)
+	if excused && q.Unique != "" && !l.Spread {
+		l.bodies.Store(q.Body, false) // the keys were lost with the process
+	}
+	if o.Took > q.Limit+answerRest && !excused {
+		atomic.AddInt64(&l.Late, 1)
+		l.Note("%s %s answered after %v", q.Class, q.Txn, o.Took)
+	}
+	switch o.End {
+	case router.Served:
+		atomic.AddInt64(&l.Served, 1)
+		if q.Retry {
+			atomic.AddInt64(&l.RepeatsServed, 1)
+		}
+		if o.Body != "did "+q.Body {
+			atomic.AddInt64(&l.Wrong, 1)
+			l.Note("%s got %q", q.Body, o.Body)
+		}
+	case router.Refused:
+		atomic.AddInt64(&l.Refused, 1)
+	case router.Failed:
+		atomic.AddInt64(&l.Failed, 1)
+	default:
+		switch {
+		case excused:
+			atomic.AddInt64(&l.Killed, 1)
+		case o.End == router.TurnedBack:
+			atomic.AddInt64(&l.TurnedBack, 1)
+			l.Note("%s was turned back", q.Txn)
+		default:
+			atomic.AddInt64(&l.Lost, 1)
+			l.Note("%s %s was lost after %v", q.Class, q.Txn, o.Took)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/process.go
@@ -0,0 +1,127 @@
+// Package rig starts several real processes of the program on loopback and injects faults into them and between them. Whatever
+// starts a second process of the program does it through this package. It judges by its own clock and by what the stand-ins
+// count, never by what the program says of itself.
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// outputKept is how much of the end of what a process prints is kept, in bytes.
+const outputKept = 64 << 10
+
+// Process is one process, from its start to its end.
+type Process struct {
+	cmd   *exec.Cmd
+	out   output
+	ended chan struct{}
+	err   error
+}
+
+// output keeps the end of what a process prints.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.buf.Len() > outputKept {
+		o.buf.Next(outputKept / 2)
+	}
+	return o.buf.Write(p)
+}
+
+// Start starts a command. left is called once, when the process has ended; it may be nil. The process ends with the rig's.
+func Start(cmd *exec.Cmd, left func(*Process)) (*Process, error) {
+	p := &Process{cmd: cmd, ended: make(chan struct{})}
+	cmd.Stderr = &p.out
+	if cmd.SysProcAttr == nil {
+		cmd.SysProcAttr = &syscall.SysProcAttr{}
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	go func() {
+		p.err = cmd.Wait()
+		if left != nil {
+			left(p)
+		}
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// Log is the end of what it has printed.
+func (p *Process) Log() string {
+	p.out.mu.Lock()
+	defer p.out.mu.Unlock()
+	return p.out.buf.String()
+}
+
+// Ended closes when the process has ended; Err then tells how.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Err is how the process has ended, once it has.
+func (p *Process) Err() error { return p.err }
+
+// Pid is the process's number.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal. One that has ended gets none.
+func (p *Process) Signal(s syscall.Signal) error {
+	select {
+	case <-p.ended:
+		return os.ErrProcessDone
+	default:
+		return p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends it at once and waits for its end.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// FreeAddr finds an address on loopback that nobody listens at.
+func FreeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// FreeAddrs finds so many at once, all different.
+func FreeAddrs(n int) (list []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		list = append(list, ln.Addr().String())
+	}
+	return list, nil
+}
+
+// said is the last line of a log that holds a word, for messages.
+func said(log, word string) string {
+	lines := strings.Split(log, "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		if strings.Contains(lines[i], word) {
+			return lines[i]
+		}
+	}
+	return ""
+}
