Play leases on real processes with drawn faults, and check the histories from outside

Found: a box that followed another one that only follows learned little and could not join in time (the rig said 'n6: phase joining, agrees false'); a source that does not vote is none to stay with now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test lint run fuzz year replace figures
+.PHONY: build trial test lint run fuzz year replace leases figures
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -46,6 +46,14 @@
 replace: build
 	bin/cairnctl trial replace --seed $(SEED)
 
+# The program with the switches that trials need: clocks that run fast or slow, disks that are full, boxes that act.
+trial: build
+	mkdir -p bin/trial && go build -tags trial -o bin/trial/ ./cmd/cairnlane ./cmd/cairnsite
+
+# Seven real processes act under leases with some 80 faults in and between them; under 4 minutes. SEED=n draws others.
+leases: trial
+	bin/cairnctl trial leases --seed $(SEED)
+
 # What TLS costs beside plain connections: per request, per handshake, and memory per idle connection.
 figures:
 	go test -run '^$$' -bench 'Request|Handshake|Idle' ./internal/front
--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"slices"
@@ -23,7 +24,11 @@
 
 	"cairnlane/internal/certs/year"
 	"cairnlane/internal/control"
+	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/handover/replace"
+	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/leases"
+	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/standin/authority"
 )
@@ -74,6 +79,23 @@
 			Site    string   `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Command []string `default:"bin/cairnlane" help:"Starts a replica."`
 		} `cmd:"" help:"Replace real replica processes under load on loopback, one in three with a kill."`
+		Leases struct {
+			Seed     uint64        `default:"1" help:"Draws faults, load and clocks."`
+			Boxes    int           `default:"7" help:"How many processes."`
+			Faults   int           `default:"84" help:"How many faults are drawn."`
+			Span     time.Duration `default:"120s" help:"Over which they come."`
+			Clean    int           `default:"9" help:"How many holders are killed at the end, to measure how soon another one acts."`
+			Schedule string        `type:"existingfile" help:"Play the faults in a file, as a trial prints them, in place of drawn ones."`
+			Shrink   bool          `help:"If bounds are missed, play shorter schedules to find which faults are needed."`
+			Site     string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
+			Program  string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
+		} `cmd:"" help:"Have real processes act under leases on loopback, with faults in and between them."`
+		Act struct {
+			Resource string        `required:""`
+			Thing    string        `required:""`
+			Box      string        `required:""`
+			For      time.Duration `default:"1s"`
+		} `cmd:"" hidden:"" help:"Act upon a stand-in under the token in the environment."`
 	} `cmd:"" help:"Trials of this program, with its stand-ins."`
 	Completion struct {
 		Shell string `arg:"" enum:"bash" help:"bash."`
@@ -161,6 +183,11 @@
 		return o.year(w)
 	case "trial replace":
 		return o.replace(w)
+	case "trial leases":
+		return o.leases(w)
+	case "trial act":
+		a := o.Trial.Act
+		return actor.Command(a.Resource, a.Thing, a.Box, a.For)
 	default:
 		return completion(w, model)
 	}
@@ -312,6 +339,65 @@
 	return nil
 }
 
+// leases plays faults on a fleet; an error says which bounds were missed.
+func (o *options) leases(w io.Writer) error {
+	t := o.Trial.Leases
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cfg := leases.Config{Seed: t.Seed, Boxes: t.Boxes, Faults: t.Faults, Span: t.Span, Kinds: rig.Kinds, Clean: t.Clean, Clocks: true, Ctl: self, Example: t.Site, Progress: w,
+		Terms: lease.Terms{Term: 2 * time.Second, Drift: 0.02}, Election: 400 * time.Millisecond,
+		Serve: func(path string) *exec.Cmd { return exec.Command(t.Program, "serve", "--config", path) }}
+	if t.Schedule != "" {
+		raw, err := os.ReadFile(t.Schedule)
+		if err != nil {
+			return err
+		}
+		if cfg.Schedule, err = rig.Parse(string(raw)); err != nil {
+			return fmt.Errorf("%s: %w", t.Schedule, err)
+		}
+	}
+	play := func(cfg leases.Config) (*leases.Figures, error) {
+		dir, err := os.MkdirTemp("", "fl")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		cfg.Dir = dir
+		return leases.Run(cfg)
+	}
+	f, err := play(cfg)
+	if err != nil {
+		return err
+	}
+	for _, k := range rig.Kinds {
+		fmt.Fprintf(w, "%-10s %d\n", k, f.Played[k])
+	}
+	for _, n := range f.Notes {
+		fmt.Fprintln(w, n)
+	}
+	missed := f.MissedInFull()
+	if len(missed) > 0 {
+		fmt.Fprintf(w, "the schedule:\n%s", f.Schedule)
+		if t.Shrink {
+			cfg.Progress, cfg.Clean = nil, 0
+			short := rig.Shrink(f.Schedule, func(s rig.Schedule) bool {
+				again := cfg
+				again.Schedule = s
+				f, err := play(again)
+				return err != nil || len(f.Missed()) > 0
+			})
+			fmt.Fprintf(w, "what is left of it and still fails:\n%s", short)
+		}
+	}
+	fmt.Fprintln(w, f)
+	if len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
 // completion prints a completion for bash from the commands that there are.
 func completion(w io.Writer, model *kong.Application) error {
 	fmt.Fprintln(w, "_cairnctl() {\n  local at=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$at\" in")
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -607,7 +607,7 @@
 			return
 		}
 	}
-	if l.asked > l.answered+2*l.cfg.Timing.Poll || l.source == "" || l.source == l.cfg.Name {
+	if l.asked > l.answered+2*l.cfg.Timing.Poll || l.source == "" || l.source == l.cfg.Name || len(l.state.Voters) > 0 && !slices.Contains(l.voters(), l.source) {
 		l.change()
 		l.answered = now
 	}
@@ -620,20 +620,17 @@
 	}
 }
 
-// change goes over to another source: one of the voters, or of all that are named as long as no fleet is known. One that has
-// been silent may be reached again later, so all come in turn.
+// change goes over to another source: one of the voters, or of all that are named as long as no fleet is known. Now and then it
+// is one that is named all the same: it may know of voters, or of an era, that this box has not heard of. A box that only
+// follows is none to stay with: two that follow each other learn nothing.
 func (l *Ledger) change() {
 	l.agrees = false
-	var list []string
-	for name, v := range l.state.Voters {
-		if !v.Learner {
-			list = append(list, name)
-		}
+	list := l.voters()
+	if len(list) == 0 || l.cfg.Rand.IntN(strayEach) == 0 {
+		list = slices.Clone(l.cfg.Seeds)
 	}
-	// Those that are named are asked as well: they know of voters, or of an era, that this box has not heard of.
-	list = append(list, l.cfg.Seeds...)
 	slices.Sort(list)
-	list = slices.DeleteFunc(slices.Compact(list), func(n string) bool { return n == l.cfg.Name })
+	list = slices.DeleteFunc(list, func(n string) bool { return n == l.cfg.Name })
 	if len(list) == 0 {
 		l.source = ""
 		return
@@ -641,6 +638,19 @@
 	l.source = list[l.cfg.Rand.IntN(len(list))]
 }
 
+// strayEach is how many changes of source lie between two that ask somebody who does not vote, on average.
+const strayEach = 4
+
+// voters are the names of those that vote.
+func (l *Ledger) voters() (list []string) {
+	for name, v := range l.state.Voters {
+		if !v.Learner {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // reconcile has the leader make the next change of voters.
 func (l *Ledger) reconcile(now time.Duration) {
 	if !l.Leads(now) {
--- a/internal/lab/actor/actor.go
+++ b/internal/lab/actor/actor.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -124,3 +126,23 @@
 	}
 	return nil
 }
+
+// Command acts upon a thing again and again, as a command that runs under a lease: with the token in its environment, and
+// without asking anybody whether it may.
+func Command(addr, thing, box string, span time.Duration) error {
+	token, err := strconv.ParseUint(os.Getenv("CAIRNLANE_TOKEN"), 10, 64)
+	if err != nil {
+		return fmt.Errorf("CAIRNLANE_TOKEN: %w", err)
+	}
+	c, err := resource.Dial(addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		if _, err := c.Act(thing, token, box, os.Getpid(), func() { time.Sleep(20 * time.Millisecond) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/leases/leases.go
@@ -0,0 +1,326 @@
+// Package leases plays a fleet of real processes that act under leases on a stand-in, with faults in and between them, and
+// checks from the stand-in's own notes that never more act at once than may.
+package leases
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/rig"
+	"cairnlane/internal/standin/resource"
+)
+
+// Config is what a trial is played with.
+type Config struct {
+	Seed     uint64
+	Boxes    int
+	Faults   int
+	Span     time.Duration // over which the faults come
+	Kinds    []rig.Kind
+	Schedule rig.Schedule // instead of a drawn one
+	Clean    int          // holders killed with no other fault about, to measure how soon another one acts
+	Clocks   bool         // run clocks fast and slow; needs a trial build
+	Serve    func(config string) *exec.Cmd
+	Ctl      string // cairnctl, for commands that run as the one holder; "" for none
+	Example  string
+	Dir      string
+	Terms    lease.Terms
+	Election time.Duration
+	Progress io.Writer
+}
+
+// Things are what is acted upon: two that compare tokens, one that does not, and one that two may act on at a time.
+var Things = []string{"checked-a", "checked-b", "plain", "double"}
+
+// commandThing is acted upon by commands of cairnctl.
+const commandThing = "command"
+
+// Figures are what a trial came to.
+type Figures struct {
+	rig.Tally
+	Seed                        uint64
+	Processes, Faults, Kinds    int
+	Acts, Takeovers, Commands   int
+	Overlaps, Unguarded, Fenced int
+	StaleTried, StaleAccepted   int
+	TokensBack, DigestsDiffer   int
+	Linearizable                bool
+	VacancyMax, VacancyBound    time.Duration
+	Vacancies                   int
+	Took                        time.Duration
+	Played                      rig.Played
+	Schedule                    rig.Schedule
+	Notes                       []string
+}
+
+// vacancyRest is what a takeover may take beside the term.
+const vacancyRest = 2 * time.Second
+
+// Run plays a trial.
+func Run(cfg Config) (*Figures, error) {
+	if cfg.Progress == nil {
+		cfg.Progress = io.Discard
+	}
+	began := time.Now()
+	res, err := resource.Start(actor.Compares)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Close()
+	voters := []int{0, 1, 2}
+	site, err := rig.NewSite(rig.SiteConfig{Seed: cfg.Seed, Dir: cfg.Dir, Boxes: cfg.Boxes, Voters: voters, Terms: cfg.Terms, Election: cfg.Election, Example: cfg.Example, Serve: cfg.Serve,
+		Clocks: cfg.Clocks, Load: true, Env: func(box int) []string {
+			return []string{actor.EnvResource + "=" + res.String(), actor.EnvThings + "=" + strings.Join(Things, ","), fmt.Sprintf("%s=%d", actor.EnvSeed, cfg.Seed*100+uint64(box))}
+		}})
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	if err := site.Start(); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(cfg.Progress, "%d boxes are in\n", cfg.Boxes)
+	commands := newCommands(cfg, site, res)
+	defer commands.close()
+	src := rand.New(rand.NewPCG(cfg.Seed, 3))
+	sched := cfg.Schedule
+	if sched == nil {
+		sched = rig.Draw(src, cfg.Kinds, cfg.Faults, cfg.Boxes, cfg.Span)
+	}
+	f := &Figures{Seed: cfg.Seed, Processes: cfg.Boxes, Schedule: sched, VacancyBound: cfg.Terms.Term + vacancyRest}
+	if f.Played, err = site.Play(sched, traps{res}); err != nil {
+		return nil, err
+	}
+	f.Faults, f.Kinds = f.Played.Sum(), len(f.Played)
+	fmt.Fprintf(cfg.Progress, "%d faults of %d kinds, %d effects\n", f.Faults, f.Kinds, len(res.Effects()))
+	if err := site.Settle(40 * time.Second); err != nil {
+		f.note("%v", err)
+		f.DigestsDiffer++ // a fleet that does not agree again has failed
+	}
+	for range cfg.Clean {
+		if err := f.clean(cfg, site, res); err != nil {
+			return nil, err
+		}
+	}
+	if err := site.Settle(40 * time.Second); err != nil {
+		f.note("%v", err)
+		f.DigestsDiffer++
+	}
+	f.digests(site)
+	commands.close()
+	f.Commands = commands.done
+	site.Load.End()
+	f.Tally = site.Load.Tally
+	f.Notes = append(f.Notes, site.Load.Notes()...)
+	f.judge(site, res)
+	f.Took = time.Since(began)
+	return f, nil
+}
+
+func (f *Figures) note(format string, a ...any) {
+	if len(f.Notes) < 30 {
+		f.Notes = append(f.Notes, fmt.Sprintf(format, a...))
+	}
+}
+
+// traps finds the moment between check and effect by the stand-in, at things that compare tokens.
+type traps struct{ res *resource.Resource }
+
+// Stop implements rig.Traps.
+func (t traps) Stop(stop func(box string) bool) {
+	t.res.Trap(func(e resource.Effect) bool { return actor.Compares(e.Thing) && stop(e.Box) })
+}
+
+// clean kills the holder of a thing and measures how soon another box acts on it.
+func (f *Figures) clean(cfg Config, site *rig.Site, res *resource.Resource) error {
+	thing := []string{"checked-a", "checked-b", "plain"}[f.Vacancies%3]
+	var holder *rig.Box
+	for end := time.Now().Add(20 * time.Second); holder == nil && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		list := res.Effects()
+		for i := len(list) - 1; i >= 0; i-- {
+			if e := list[i]; e.Thing == thing && e.Begin != 0 {
+				if res.Now()-e.Begin < 100*time.Millisecond {
+					for _, b := range site.Boxes {
+						if b.Name == e.Box && b.Pid() == e.Pid {
+							holder = b
+						}
+					}
+				}
+				break
+			}
+		}
+	}
+	if holder == nil {
+		return fmt.Errorf("nobody acts on %s", thing)
+	}
+	at := res.Now()
+	holder.Kill()
+	for end := time.Now().Add(f.VacancyBound + 20*time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("nobody acts on %s after %s was killed", thing, holder.Name)
+		}
+		list := res.Effects()
+		if i := slices.IndexFunc(list, func(e resource.Effect) bool { return e.Thing == thing && e.Begin > at && e.Box != holder.Name }); i >= 0 {
+			f.Vacancies++
+			f.VacancyMax = max(f.VacancyMax, list[i].Begin-at)
+			break
+		}
+	}
+	if err := holder.Start(); err != nil {
+		return err
+	}
+	return site.Settle(20 * time.Second)
+}
+
+// digests compares what boxes have agreed on, wherever two stand at the same entry.
+func (f *Figures) digests(site *rig.Site) {
+	seen := map[uint64]string{}
+	for range 20 {
+		for _, b := range site.Boxes {
+			st, err := b.Status()
+			if err != nil {
+				continue
+			}
+			if strings.Contains(st.Reason, "differs") {
+				f.DigestsDiffer++
+				f.note("%s: %s", b.Name, st.Reason)
+			}
+			if d, ok := seen[st.Index]; ok && d != st.Digest {
+				f.DigestsDiffer++
+				f.note("%s has another state at %d", b.Name, st.Index)
+			}
+			seen[st.Index] = st.Digest
+		}
+	}
+}
+
+// commands run as the one holder of a task, through cairnctl, at each box again and again.
+type commands struct {
+	stop chan struct{}
+	once sync.Once
+	wait sync.WaitGroup
+	mu   sync.Mutex
+	done int
+	live map[*exec.Cmd]bool
+}
+
+func newCommands(cfg Config, site *rig.Site, res *resource.Resource) *commands {
+	c := &commands{stop: make(chan struct{}), live: map[*exec.Cmd]bool{}}
+	if cfg.Ctl == "" {
+		return c
+	}
+	for _, b := range site.Boxes {
+		c.wait.Go(func() { c.loop(cfg, b, res) })
+	}
+	c.wait.Go(func() { c.stopParents(cfg) })
+	return c
+}
+
+func (c *commands) stopped() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *commands) loop(cfg Config, b *rig.Box, res *resource.Resource) {
+	for !c.stopped() {
+		cmd := exec.Command(cfg.Ctl, "--socket", b.Socket(), "fleet", "run", commandThing, "--grace", "200ms", "--wait", "20s", "--",
+			cfg.Ctl, "trial", "act", "--resource", res.String(), "--thing", commandThing, "--box", b.Name, "--for", "1500ms")
+		cmd.Env = os.Environ()
+		c.mu.Lock()
+		if c.stopped() {
+			c.mu.Unlock()
+			return
+		}
+		err := cmd.Start()
+		if err == nil {
+			c.live[cmd] = true
+		}
+		c.mu.Unlock()
+		if err == nil {
+			err = cmd.Wait()
+		}
+		c.mu.Lock()
+		delete(c.live, cmd)
+		if err == nil {
+			c.done++
+		}
+		c.mu.Unlock()
+		select {
+		case <-c.stop:
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// close ends what still runs. A command's group ends with its cairnctl, or by its box's desk.
+func (c *commands) close() {
+	c.once.Do(func() {
+		close(c.stop)
+		c.mu.Lock()
+		for cmd := range c.live {
+			cont(cmd)
+			cmd.Process.Signal(os.Interrupt)
+		}
+		c.mu.Unlock()
+	})
+	c.wait.Wait()
+}
+
+// String is the line of figures.
+func (f *Figures) String() string {
+	lin := 0
+	if f.Linearizable {
+		lin = 1
+	}
+	return fmt.Sprintf("figures: processes=%d faults=%d kinds=%d acts=%d takeovers=%d overlaps=%d unguarded=%d fenced=%d stale_tried=%d stale_accepted=%d tokens_back=%d linearizable=%d digests_differ=%d commands=%d vacancy_max_ms=%d vacancy_bound_ms=%d vacancies=%d requests=%d served=%d refused=%d failed=%d killed=%d lost=%d ended_twice=%d double_runs=%d wrong=%d seconds=%.0f",
+		f.Processes, f.Faults, f.Kinds, f.Acts, f.Takeovers, f.Overlaps, f.Unguarded, f.Fenced, f.StaleTried, f.StaleAccepted, f.TokensBack, lin, f.DigestsDiffer, f.Commands,
+		f.VacancyMax.Milliseconds(), f.VacancyBound.Milliseconds(), f.Vacancies, f.Requests, f.Served, f.Refused, f.Failed, f.Killed, f.Lost, f.EndedTwice, f.DoubleRuns, f.Wrong, f.Took.Seconds())
+}
+
+// Missed lists the bounds that were missed, apart from those of time.
+func (f *Figures) Missed() (list []string) {
+	for _, c := range []struct {
+		name string
+		n    int64
+	}{{"overlaps", int64(f.Overlaps)}, {"stale accepted", int64(f.StaleAccepted)}, {"tokens back", int64(f.TokensBack)}, {"digests differ", int64(f.DigestsDiffer)},
+		{"lost", f.Lost}, {"ended twice", f.EndedTwice}, {"double runs", f.DoubleRuns}, {"wrong results", f.Wrong}} {
+		if c.n > 0 {
+			list = append(list, fmt.Sprintf("%s: %d", c.name, c.n))
+		}
+	}
+	if !f.Linearizable {
+		list = append(list, "the histories are not linearizable")
+	}
+	if f.Acts < 20 || f.Takeovers < 3 {
+		list = append(list, fmt.Sprintf("only %d effects and %d takeovers: nothing is shown", f.Acts, f.Takeovers))
+	}
+	return list
+}
+
+// MissedInFull are those of a trial in full.
+func (f *Figures) MissedInFull() []string {
+	list := f.Missed()
+	if f.Processes < 7 || f.Faults < 60 {
+		list = append(list, fmt.Sprintf("%d processes and %d faults; 7 and 60 are wanted", f.Processes, f.Faults))
+	}
+	if f.StaleTried == 0 {
+		list = append(list, "no stale holder tried to act: the faults do not bite")
+	}
+	if f.VacancyMax > f.VacancyBound {
+		list = append(list, fmt.Sprintf("a task was vacant for %v", f.VacancyMax))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/lab/leases/leases_test.go
@@ -0,0 +1,104 @@
+package leases
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnlane/internal/appliance"
+	"cairnlane/internal/config"
+	"cairnlane/internal/daemon"
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/rig"
+	"cairnlane/internal/logging"
+	"cairnlane/internal/standin/resource"
+)
+
+// TestMain is a box's process when a trial starts this binary again.
+func TestMain(m *testing.M) {
+	path := os.Getenv("CAIRNLANE_TEST_SERVE")
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	cfg, err := config.Load(path)
+	if err == nil {
+		var box *appliance.Box
+		if box, err = appliance.New(cfg, logging.Start(os.Stderr, logging.Config{})); err == nil {
+			err = daemon.Run(cfg.Replica, cfg.Site, box.Started, append(box.Parts(), &actor.Part{Box: cfg.Site.Name, Fleet: box.Fleet().Running})...)
+		}
+	}
+	os.Stderr.WriteString(err.Error())
+	os.Exit(1)
+}
+
+func serve(path string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "CAIRNLANE_TEST_SERVE="+path)
+	return cmd
+}
+
+// TestTwoHoldersNeverActAtOnce is the short form of `make leases`: it judges rules and counts, not times.
+func TestTwoHoldersNeverActAtOnce(t *testing.T) {
+	dir, err := os.MkdirTemp("", "fl") // t.TempDir is too long for a socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	sched, err := rig.Parse(`
+		200ms stop-act 0 1 500ms
+		400ms stop 1 2 900ms
+		1s kill 2 0 300ms
+		2s split 0 3 1500ms
+		4s stop-lead 0 1 2s
+		5s twin 3 1 1500ms
+		7s empty 1 2 200ms
+		7500ms flap 3 1 1s`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Run(Config{Seed: 1, Boxes: 4, Schedule: sched, Serve: serve, Example: "../../../examples/config.json", Dir: dir,
+		Terms: lease.Terms{Term: 1500 * time.Millisecond, Drift: 0.02}, Election: 300 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if missed := f.Missed(); len(missed) > 0 {
+		t.Errorf("missed %s\n%s", strings.Join(missed, ", "), strings.Join(f.Notes, "\n"))
+	}
+	t.Log(f, f.Played)
+}
+
+// TestTheCheckersBite gives them histories with one thing wrong in each.
+func TestTheCheckersBite(t *testing.T) {
+	ms := time.Millisecond
+	eff := func(thing string, token uint64, box string, called, begin, end time.Duration) resource.Effect {
+		return resource.Effect{Thing: thing, Token: token, Box: box, Called: called * ms, Begin: begin * ms, End: end * ms}
+	}
+	stale := func(e resource.Effect) resource.Effect { e.Begin, e.Stale = 0, true; return e }
+	note := func(what string, token uint64, pid int, at time.Duration) resource.Note {
+		return resource.Note{What: what, Task: "x", Token: token, Pid: pid, At: at * ms}
+	}
+	for name, c := range map[string]struct {
+		effects []resource.Effect
+		notes   []resource.Note
+		bad     func(*Figures) bool
+	}{
+		"nothing wrong": {[]resource.Effect{eff("plain", 1, "a", 1, 2, 5), eff("plain", 2, "b", 6, 7, 9), eff("double", 1, "a", 1, 2, 9), eff("double", 2, "b", 2, 3, 9), eff("checked", 2, "b", 1, 2, 3), stale(eff("checked", 1, "a", 4, 0, 5))},
+			[]resource.Note{note("asked", 0, 1, 1), note("granted", 5, 1, 2), note("asked", 0, 2, 1), note("granted", 4, 2, 3)}, func(f *Figures) bool { return len(f.Missed()) != 1 }}, // too few effects is the one
+		"two on one":          {[]resource.Effect{eff("plain", 1, "a", 1, 2, 5), eff("plain", 2, "b", 3, 4, 9)}, nil, func(f *Figures) bool { return f.Overlaps == 0 }},
+		"an end that is open": {[]resource.Effect{eff("plain", 1, "a", 1, 2, 0), eff("plain", 2, "b", 30, 40, 90)}, nil, func(f *Figures) bool { return f.Overlaps == 0 }},
+		"three on two":        {[]resource.Effect{eff("double", 1, "a", 1, 2, 9), eff("double", 2, "b", 3, 4, 9), eff("double", 3, "c", 4, 5, 9)}, nil, func(f *Figures) bool { return f.Overlaps == 0 }},
+		"an older token":      {[]resource.Effect{eff("checked", 2, "a", 1, 2, 3), eff("checked", 1, "b", 4, 5, 6)}, nil, func(f *Figures) bool { return f.StaleAccepted == 0 || f.Linearizable }},
+		"a newer one refused": {[]resource.Effect{eff("checked", 1, "a", 1, 2, 3), stale(eff("checked", 2, "b", 4, 0, 5)), eff("checked", 3, "c", 7, 8, 9)}, nil, func(f *Figures) bool { return f.Linearizable }},
+		"a token twice":       {nil, []resource.Note{note("asked", 0, 1, 1), note("granted", 5, 1, 2), note("asked", 0, 2, 3), note("granted", 5, 2, 4)}, func(f *Figures) bool { return f.TokensBack == 0 || f.Linearizable }},
+		"a token back":        {nil, []resource.Note{note("asked", 0, 1, 1), note("granted", 5, 1, 2), note("asked", 0, 2, 3), note("granted", 4, 2, 4)}, func(f *Figures) bool { return f.TokensBack == 0 || f.Linearizable }},
+	} {
+		f := new(Figures)
+		f.check(c.effects, c.notes, 100*ms, func(resource.Effect) bool { return false })
+		if c.bad(f) {
+			t.Errorf("%s: %s %v", name, f, f.Notes)
+		}
+	}
+}
--- a/internal/lab/rig/play.go
+++ b/internal/lab/rig/play.go
@@ -10,8 +10,8 @@
 
 // Traps are how faults find the moment between a permit's check and its effect; a stand-in has one.
 type Traps interface {
-	// Stop has stop called for the next box that is about to act, before it does.
-	Stop(stop func(box string))
+	// Stop has stop called for a box that is about to act, before it does, and for the next one until stop says that it did.
+	Stop(stop func(box string) bool)
 }
 
 // Played are the faults that were carried out, by kind.
@@ -175,7 +175,7 @@
 			return "", nil
 		}
 		over := make(chan bool, 1)
-		traps.Stop(func(box string) {
+		traps.Stop(func(box string) bool {
 			for _, t := range s.Boxes {
 				if t.Name == box && t.take() {
 					s.happened(t.Index, "stopped in an act for %v", s.cfg.Terms.Term+f.For/2)
@@ -186,16 +186,13 @@
 						t.done()
 						over <- true
 					}()
-					return
+					return true
 				}
 			}
-			over <- false
+			return false
 		})
 		select {
-		case ok := <-over:
-			if !ok {
-				return "", nil
-			}
+		case <-over:
 		case <-time.After(s.cfg.Terms.Term + 10*time.Second):
 			return "", nil
 		}
--- a/internal/standin/resource/resource.go
+++ b/internal/standin/resource/resource.go
@@ -22,7 +22,7 @@
 	Pid    int
 	Called time.Duration // when it was announced: the permit has been checked by then
 	Begin  time.Duration // 0 when it was refused
-	End    time.Duration // 0 while it goes on
+	End    time.Duration // 0 while it goes on; when it was refused, if it was
 	Fenced bool          // a newer token has ended it
 	Stale  bool          // refused: its token is older than one that was seen
 	Trap   bool          // its process was stopped between announcement and begin, by Trap
@@ -53,7 +53,7 @@
 	notes   []Note
 	newest  map[string]uint64 // token by thing
 	checks  func(thing string) bool
-	trap    func(e Effect) // called once, between announcement and answer
+	trap    func(e Effect) bool // called between announcement and answer, until it says that it has sprung
 }
 
 // Start opens a resource. checks tells which things compare tokens. Times count from now.
@@ -84,8 +84,8 @@
 // Now is the stand-in's clock.
 func (r *Resource) Now() time.Duration { return time.Since(r.began) }
 
-// Trap has f called for the next effect that is announced, before it is answered.
-func (r *Resource) Trap(f func(Effect)) {
+// Trap has f called for each effect that is announced, before it is answered, until f tells that the trap has sprung.
+func (r *Resource) Trap(f func(Effect) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.trap = f
@@ -134,15 +134,10 @@
 			r.mu.Lock()
 			r.effects = append(r.effects, e)
 			open = e
-			trap := r.trap
-			if trap != nil {
+			if r.trap != nil && r.trap(*e) {
 				r.trap, e.Trap = nil, true
 			}
-			copied := *e
 			r.mu.Unlock()
-			if trap != nil {
-				trap(copied)
-			}
 			answer = "go"
 		case "note":
 			n := Note{At: r.Now()}
@@ -174,7 +169,7 @@
 	now := r.Now()
 	if r.checks(e.Thing) {
 		if e.Token < r.newest[e.Thing] {
-			e.Stale = true
+			e.Stale, e.End = true, now
 			return "stale"
 		}
 		if e.Token > r.newest[e.Thing] {
