Have the trial's stops outlast a lease, and take ports that outgoing connections do not

A box that was stopped in an act woke before another one had acted, so its late effect was still the newest; and a free port was taken by an outgoing connection before the box listened.

A stop in an act now lasts one and a half terms and a second; ports lie below the range that the system gives out.

--- a/internal/lab/rig/play.go
+++ b/internal/lab/rig/play.go
@@ -178,10 +178,12 @@
 		traps.Stop(func(box string) bool {
 			for _, t := range s.Boxes {
 				if t.Name == box && t.take() {
-					s.happened(t.Index, "stopped in an act for %v", s.cfg.Terms.Term+f.For/2)
+					// Long enough for another box to have got the slot and acted.
+					span := s.cfg.Terms.Term*3/2 + time.Second + f.For/4
+					s.happened(t.Index, "stopped in an act for %v", span)
 					t.stop(true)
 					go func() {
-						time.Sleep(s.cfg.Terms.Term + f.For/2)
+						time.Sleep(span)
 						t.stop(false)
 						t.done()
 						over <- true
@@ -193,7 +195,7 @@
 		})
 		select {
 		case <-over:
-		case <-time.After(s.cfg.Terms.Term + 10*time.Second):
+		case <-time.After(2*s.cfg.Terms.Term + 10*time.Second):
 			return "", nil
 		}
 	case Kill, Leader:
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -6,10 +6,10 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
-	"strings"
 	"sync"
 	"syscall"
 )
@@ -92,36 +92,34 @@
 	<-p.ended
 }
 
+// Ports that are taken for listeners lie below those that the system gives to connections that go out: one of these would
+// else take a port between the time at which it was found free and the time at which a process listens.
+const (
+	portLeast = 10240
+	portMost  = 32000
+)
+
 // FreeAddr finds an address on loopback that nobody listens at.
 func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	list, err := FreeAddrs(1)
 	if err != nil {
 		return "", err
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return list[0], nil
 }
 
 // FreeAddrs finds so many at once, all different.
 func FreeAddrs(n int) (list []string, err error) {
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(list) < n; tries++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", portLeast+rand.IntN(portMost-portLeast)))
 		if err != nil {
-			return nil, err
+			if tries > 50*n {
+				return nil, fmt.Errorf("rig: no free port is found: %w", err)
+			}
+			continue
 		}
 		defer ln.Close()
 		list = append(list, ln.Addr().String())
 	}
 	return list, nil
 }
-
-// said is the last line of a log that holds a word, for messages.
-func said(log, word string) string {
-	lines := strings.Split(log, "\n")
-	for i := len(lines) - 1; i >= 0; i-- {
-		if strings.Contains(lines[i], word) {
-			return lines[i]
-		}
-	}
-	return ""
-}
