Measure fleets in virtual time: seeds a minute, and the talk of up to 1,000 boxes

A box that follows looks for another source after one and a half polls without an answer (two and more before).

--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -27,6 +27,7 @@
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/handover/replace"
 	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/fleetsim"
 	"cairnlane/internal/lab/leases"
 	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
@@ -90,6 +91,13 @@
 			Site     string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Program  string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
 		} `cmd:"" help:"Have real processes act under leases on loopback, with faults in and between them."`
+		Fleetsim struct {
+			Seed    uint64        `default:"1" help:"The first seed."`
+			Seeds   int           `default:"2000" help:"How many are played."`
+			Workers int           `default:"4" help:"How many side by side."`
+			Members int           `default:"0" help:"Play one large fleet without faults in place of seeds, and measure its talk."`
+			Term    time.Duration `default:"10s" help:"Of the large fleet's leases."`
+		} `cmd:"" help:"Play fleets in virtual time, with drawn faults."`
 		Act struct {
 			Resource string        `required:""`
 			Thing    string        `required:""`
@@ -185,6 +193,8 @@
 		return o.replace(w)
 	case "trial leases":
 		return o.leases(w)
+	case "trial fleetsim":
+		return o.fleetsim(w)
 	case "trial act":
 		a := o.Trial.Act
 		return actor.Command(a.Resource, a.Thing, a.Box, a.For)
@@ -398,6 +408,30 @@
 	return nil
 }
 
+// fleetsim plays fleets in virtual time; an error says which bounds were missed.
+func (o *options) fleetsim(w io.Writer) error {
+	t := o.Trial.Fleetsim
+	if t.Members > 0 {
+		f := fleetsim.Scale(t.Members, t.Term, time.Minute)
+		fmt.Fprintln(w, "figures:", f)
+		if f.Lost > 0 || f.AllIn == 0 {
+			return fmt.Errorf("missed: %d sessions were lost, all were in after %v", f.Lost, f.AllIn)
+		}
+		return nil
+	}
+	f := fleetsim.Many(t.Seed, t.Seeds, t.Workers, w)
+	if f.First != nil {
+		for _, l := range f.First.Trace {
+			fmt.Fprintln(w, l)
+		}
+	}
+	fmt.Fprintln(w, f)
+	if missed := f.Missed(); len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
 // completion prints a completion for bash from the commands that there are.
 func completion(w io.Writer, model *kong.Application) error {
 	fmt.Fprintln(w, "_cairnctl() {\n  local at=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$at\" in")
--- a/internal/fleet/ledger/disk.go
+++ b/internal/fleet/ledger/disk.go
@@ -1,7 +1,7 @@
 package ledger
 
 import (
-	"bytes"
+	"cmp"
 	"errors"
 	"slices"
 
@@ -50,7 +50,12 @@
 	id    uint64
 	hard  []byte
 	snap  []byte
-	log   map[uint64][]byte
+	log   []kept // in order, without a gap
+}
+
+type kept struct {
+	index uint64
+	raw   []byte
 }
 
 // Load implements Disk.
@@ -70,14 +75,13 @@
 			return s, err
 		}
 	}
-	for _, raw := range m.log {
+	for _, k := range m.log {
 		e := new(raftpb.Entry)
-		if err := proto.Unmarshal(raw, e); err != nil {
+		if err := proto.Unmarshal(k.raw, e); err != nil {
 			return s, err
 		}
 		s.Entries = append(s.Entries, e)
 	}
-	slices.SortFunc(s.Entries, func(a, b *raftpb.Entry) int { return int(int64(a.GetIndex() - b.GetIndex())) })
 	return s, nil
 }
 
@@ -97,34 +101,27 @@
 	if w.Snapshot != nil {
 		m.snap = encode(w.Snapshot)
 	}
-	if m.log == nil {
-		m.log = map[uint64][]byte{}
-	}
 	if len(w.Entries) > 0 {
-		for i := range m.log {
-			if i >= w.Entries[0].GetIndex() {
-				delete(m.log, i)
-			}
-		}
+		m.log = m.log[:m.find(w.Entries[0].GetIndex())]
 	}
 	for _, e := range w.Entries {
-		m.log[e.GetIndex()] = encode(e)
+		m.log = append(m.log, kept{e.GetIndex(), encode(e)})
 	}
-	for i := range m.log {
-		if i <= w.Compact {
-			delete(m.log, i)
-		}
+	if w.Compact > 0 {
+		m.log = slices.Clone(m.log[m.find(w.Compact+1):])
 	}
 	return nil
 }
 
+// find is the place of the first entry that is not below an index.
+func (m *Memory) find(index uint64) int {
+	at, _ := slices.BinarySearchFunc(m.log, index, func(k kept, i uint64) int { return cmp.Compare(k.index, i) })
+	return at
+}
+
 // Copy returns another disk with the same content, as a folder that is copied or put back from a backup.
 func (m *Memory) Copy() *Memory {
-	c := &Memory{id: m.id, hard: bytes.Clone(m.hard), snap: bytes.Clone(m.snap), log: map[uint64][]byte{}, Moved: true}
-	for i, raw := range m.log {
-		c.log[i] = bytes.Clone(raw)
-	}
-	return c
+	return &Memory{id: m.id, hard: m.hard, snap: m.snap, log: slices.Clone(m.log), Moved: true} // what was saved is not changed
 }
 
 func encode(m proto.Message) []byte {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -103,7 +103,6 @@
 	asks     map[string]follower // who asks this one
 	source   string              // whom this one asks
 	ahead    string              // a box that knows of a later era
-	asked    time.Duration
 	answered time.Duration
 	agrees   bool // as the source says
 	leader   string
@@ -607,11 +606,10 @@
 			return
 		}
 	}
-	if l.asked > l.answered+2*l.cfg.Timing.Poll || l.source == "" || l.source == l.cfg.Name || len(l.state.Voters) > 0 && !slices.Contains(l.voters(), l.source) {
+	if now > l.answered+l.cfg.Timing.Poll*3/2 || l.source == "" || l.source == l.cfg.Name || len(l.state.Voters) > 0 && !slices.Contains(l.voters(), l.source) {
 		l.change()
 		l.answered = now
 	}
-	l.asked = now
 	if l.source != "" {
 		l.say(l.source, m)
 	}
--- a/internal/lab/fleetsim/sim.go
+++ b/internal/lab/fleetsim/sim.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/ledger"
@@ -97,21 +99,26 @@
 
 // World is a play.
 type World struct {
-	cfg    Config
-	now    time.Duration
-	queue  events
-	seq    int
-	rand   *rand.Rand // faults and the network
-	boxes  []*box
-	cut    map[[2]int]bool // directions that lose everything
-	slow   map[[2]int]time.Duration
-	things map[string]*thing
-	res    *Result
-	quiet  bool          // no more faults
-	catch  time.Duration // the next act is stopped for this long between its check and its begin
-	sent   int64
+	cfg     Config
+	now     time.Duration
+	queue   events
+	seq     int
+	rand    *rand.Rand // faults and the network
+	boxes   []*box
+	cut     map[[2]int]bool // directions that lose everything
+	slow    map[[2]int]time.Duration
+	things  map[string]*thing
+	res     *Result
+	quiet   bool          // no more faults
+	catch   time.Duration // the next act is stopped for this long between its check and its begin
+	sent    int64
+	measure bool // bytes as well
+	talk    map[int]said
 }
 
+// said is what a box has sent.
+type said struct{ messages, bytes int64 }
+
 // thing is what is acted upon: it takes the newest token it has seen and none older, and ends what an older one is about.
 type thing struct {
 	token  uint64
@@ -142,7 +149,7 @@
 
 // New draws a fleet; its first box has begun it.
 func New(cfg Config) *World {
-	w := &World{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), cut: map[[2]int]bool{}, slow: map[[2]int]time.Duration{}, things: map[string]*thing{},
+	w := &World{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), cut: map[[2]int]bool{}, slow: map[[2]int]time.Duration{}, things: map[string]*thing{}, talk: map[int]said{},
 		res: &Result{Faults: map[string]int{}}}
 	for i := range cfg.Boxes {
 		rate := 1 + cfg.Terms.Drift*[]float64{-1, 1, 0, 0.5}[w.rand.IntN(4)]
@@ -244,9 +251,17 @@
 	return i
 }
 
+// frameBytes is what a link adds to a message.
+const frameBytes = 21
+
 // send carries a message, if the network does.
 func (w *World) send(from int, e ledger.Envelope) {
 	w.sent++
+	if w.measure {
+		raw, _ := cbor.Marshal(e.Message)
+		t := w.talk[from]
+		w.talk[from] = said{t.messages + 1, t.bytes + int64(len(raw)) + frameBytes}
+	}
 	to := w.index(e.To)
 	if to < 0 || w.cut[[2]int{from, to}] || w.rand.Float64() < w.cfg.Loss && !w.quiet {
 		return
--- /dev/null
+++ b/internal/lab/fleetsim/trial.go
@@ -0,0 +1,194 @@
+package fleetsim
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet/ledger"
+)
+
+// Figures are what many seeds came to.
+type Figures struct {
+	Seeds, Failed                          int
+	Acts, Takeovers, Stale, Fenced, Faults int
+	Messages                               int64
+	DigestsDiffer                          int
+	AgreedMax                              time.Duration
+	Processor                              time.Duration // that it took, over all cores
+	First                                  *Result       // of those that failed
+	FirstSeed                              uint64
+}
+
+// Many plays seeds on so many workers.
+func Many(from uint64, seeds, workers int, progress io.Writer) *Figures {
+	defer debug.SetGCPercent(debug.SetGCPercent(800)) // worlds are small and short; the machine's memory is not
+	f := new(Figures)
+	before := processor()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := from
+	for range workers {
+		wait.Go(func() {
+			for {
+				mu.Lock()
+				seed := next
+				next++
+				mu.Unlock()
+				if seed >= from+uint64(seeds) {
+					return
+				}
+				r := Run(Default(seed))
+				mu.Lock()
+				f.add(seed, r)
+				if f.Seeds%500 == 0 {
+					fmt.Fprintf(progress, "%d seeds, %d effects, %d failed\n", f.Seeds, f.Acts, f.Failed)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	f.Processor = processor() - before
+	return f
+}
+
+func (f *Figures) add(seed uint64, r *Result) {
+	f.Seeds++
+	f.Acts, f.Takeovers, f.Stale, f.Fenced = f.Acts+r.Acts, f.Takeovers+r.Takeovers, f.Stale+r.Stale, f.Fenced+r.Fenced
+	f.Messages, f.DigestsDiffer = f.Messages+r.Messages, f.DigestsDiffer+r.DigestsDiffer
+	f.AgreedMax = max(f.AgreedMax, r.Agreed)
+	for _, n := range r.Faults {
+		f.Faults += n
+	}
+	if len(r.Broken) > 0 {
+		if f.Failed++; f.First == nil || seed < f.FirstSeed {
+			f.First, f.FirstSeed = r, seed
+		}
+	}
+}
+
+// processor is the processor time of this process so far.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// PerMinute is how many seeds a core plays in a minute.
+func (f *Figures) PerMinute() float64 { return float64(f.Seeds) / f.Processor.Minutes() }
+
+// PerMinuteLeast is the bound on it.
+const PerMinuteLeast = 2000
+
+func (f *Figures) String() string {
+	return fmt.Sprintf("figures: seeds=%d failed=%d faults=%d acts=%d takeovers=%d stale_tried=%d fenced=%d digests_differ=%d messages=%d agreed_max_ms=%d seeds_per_minute_and_core=%.0f",
+		f.Seeds, f.Failed, f.Faults, f.Acts, f.Takeovers, f.Stale, f.Fenced, f.DigestsDiffer, f.Messages, f.AgreedMax.Milliseconds(), f.PerMinute())
+}
+
+// Missed lists the bounds that were missed.
+func (f *Figures) Missed() (list []string) {
+	if f.Failed > 0 {
+		list = append(list, fmt.Sprintf("%d seeds failed, the first is %d: %v", f.Failed, f.FirstSeed, f.First.Broken))
+	}
+	if f.Stale == 0 || f.Acts < 20*f.Seeds {
+		list = append(list, "too little was shown")
+	}
+	if f.PerMinute() < PerMinuteLeast {
+		list = append(list, fmt.Sprintf("%.0f seeds a minute and core; %d are wanted", f.PerMinute(), PerMinuteLeast))
+	}
+	return list
+}
+
+// ScaleFigures are those of a large fleet without faults, and of the loss of its leader.
+type ScaleFigures struct {
+	Members                   int
+	MessagesBox, BytesBox     float64 // a second
+	MessagesVoter, BytesVoter float64 // of the busiest voter
+	RenewalsSecond            float64
+	MemoryBox                 int64 // bytes of heap
+	StateBytes                int
+	AllIn                     time.Duration // from the begin until every box is in
+	AgreeAfterLoss            time.Duration // from the loss of the leader until a box gets a lease
+	Lost                      int           // sessions that ended although nothing failed
+}
+
+// Scale plays a fleet of so many boxes on a term.
+func Scale(members int, term, span time.Duration) *ScaleFigures {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cfg := Config{Seed: 1, Boxes: members, Voters: 5, Terms: lease.Terms{Term: term, Drift: 0.01}, Timing: ledger.DefaultTiming, Tasks: 1, Delay: time.Millisecond}
+	w := New(cfg)
+	w.measure = true
+	f := &ScaleFigures{Members: members}
+	for f.AllIn == 0 && w.now < 5*time.Minute {
+		w.Advance(w.now + 100*time.Millisecond)
+		if len(w.boxes[0].node.Ledger().State().Table.Names) == members {
+			f.AllIn = w.now
+		}
+	}
+	w.Advance(w.now + 2*term)
+	clear(w.talk)
+	commands := w.boxes[0].node.Counts().Commands
+	sessions := map[string]uint64{}
+	for name, id := range w.boxes[0].node.Ledger().State().Table.Names {
+		sessions[name] = id
+	}
+	w.Advance(w.now + span)
+	seconds := span.Seconds()
+	for i := range w.boxes {
+		t := w.talk[i]
+		f.MessagesBox += float64(t.messages) / seconds / float64(members)
+		f.BytesBox += float64(t.bytes) / seconds / float64(members)
+		if i < cfg.Voters {
+			f.MessagesVoter, f.BytesVoter = max(f.MessagesVoter, float64(t.messages)/seconds), max(f.BytesVoter, float64(t.bytes)/seconds)
+		}
+	}
+	state := w.boxes[0].node.Ledger().State()
+	f.RenewalsSecond = float64(w.boxes[0].node.Counts().Commands-commands) / seconds
+	f.StateBytes = len(state.Encode())
+	for name, id := range sessions {
+		if state.Table.Names[name] != id {
+			f.Lost++
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	f.MemoryBox = int64(after.HeapAlloc-before.HeapAlloc) / int64(members)
+	f.AgreeAfterLoss = w.loseLeader()
+	return f
+}
+
+// loseLeader kills the leader and tells how long it takes until a box that does not vote gets a lease.
+func (w *World) loseLeader() time.Duration {
+	for i, b := range w.boxes {
+		if b.node.Ledger().Role() == "leader" {
+			w.kill(i)
+		}
+	}
+	began := w.now
+	last := len(w.boxes) - 1
+	b := w.boxes[last]
+	var a *lease.Ask
+	w.run(last, b.life, func() { a, _ = b.node.Acquire(b.clock(w), lease.Request{Task: "after the loss", Slots: 1}) })
+	for w.now < began+time.Minute {
+		w.Advance(w.now + 10*time.Millisecond)
+		if a != nil && b.node.May(b.clock(w), a, 0) == nil {
+			break
+		}
+	}
+	return w.now - began
+}
+
+func (f *ScaleFigures) String() string {
+	return fmt.Sprintf("members=%d all_in_ms=%d messages_box=%.1f bytes_box=%.0f messages_voter=%.0f bytes_voter=%.0f renewals_s=%.0f memory_box_kb=%d state_kb=%d agree_after_loss_ms=%d sessions_lost=%d",
+		f.Members, f.AllIn.Milliseconds(), f.MessagesBox, f.BytesBox, f.MessagesVoter, f.BytesVoter, f.RenewalsSecond, f.MemoryBox>>10, f.StateBytes>>10, f.AgreeAfterLoss.Milliseconds(), f.Lost)
+}
