--- a/internal/fleet/ledger/core.go
+++ b/internal/fleet/ledger/core.go
@@ -132,6 +132,12 @@
 	return n > len(c.conf.GetVoters())/2
 }
 
+// lately tells whether an identity was heard within some elections' time.
+func (c *core) lately(now time.Duration, id uint64) bool {
+	at, ok := c.heard[id]
+	return ok && now-at < 4*c.timing.Election
+}
+
 // content tells whether there is a leader that this box has heard lately. It helps nobody to become another one then.
 func (c *core) content(now time.Duration) bool {
 	if c.leads() {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -656,6 +656,10 @@
 	}
 	known := map[string]uint64{l.cfg.Name: l.id}
 	for name, k := range l.known {
+		// A copy of a box's folder that is started beside it has the name, and no claim to the vote of a box that is there.
+		if v, ok := l.state.Voters[name]; ok && v.ID != k.id && l.core.lately(now, v.ID) {
+			continue
+		}
 		if now >= k.since+steady*l.cfg.Timing.Poll/2 && now <= k.last+steady*l.cfg.Timing.Poll {
 			known[name] = k.id
 		}
--- a/internal/lab/rig/play.go
+++ b/internal/lab/rig/play.go
@@ -89,10 +89,10 @@
 		}
 		st, err := o.Status()
 		o.mu.Lock()
-		cold := o.cold
-		if err == nil && (st.Role == "voter" || st.Role == "leader") {
-			o.cold, cold = false, false
+		if err == nil && (st.Role == "voter" || st.Role == "leader") && !o.losing {
+			o.cold = false
 		}
+		cold := o.cold
 		o.mu.Unlock()
 		if cold || err != nil || len(st.Voters) != len(s.cfg.Voters) {
 			return !s.isVoter(b)
@@ -100,7 +100,7 @@
 	}
 	if votes {
 		b.mu.Lock()
-		b.cold = true
+		b.cold, b.losing = true, true
 		b.mu.Unlock()
 	}
 	return true
@@ -154,7 +154,7 @@
 		}
 		defer b.done()
 	}
-	if kind == Empty || kind == OldCopy {
+	if kind == Empty || kind == OldCopy || kind == Twin { // a twin may take its box's vote, and goes again
 		lossy.Lock()
 		if !s.mayLose(b) {
 			kind = Kill
--- a/internal/lab/rig/site.go
+++ b/internal/lab/rig/site.go
@@ -79,7 +79,8 @@
 	starts  int
 	stopped bool
 	outages []span // killed or stopped
-	cold    bool   // it has lost its disk and does not vote under a new identity yet
+	cold    bool   // it loses its disk or has lost it, and does not vote under a new identity yet
+	losing  bool   // and it was not started anew yet
 	busy    bool   // a fault is under way at it
 }
 
@@ -246,7 +247,7 @@
 				}
 			}
 			b.mu.Lock()
-			b.cold = false
+			b.cold = b.losing
 			b.mu.Unlock()
 		}
 		return nil
@@ -347,6 +348,7 @@
 		return fmt.Errorf("rig: %s does not take clients: %w\n%s", b.Name, err, p.Log())
 	}
 	b.mu.Lock()
+	b.losing = false
 	b.up()
 	b.mu.Unlock()
 	return nil
