Catch 22 mutants of the leases, play the hard cases one by one, measure takeovers and a crowd

make mutants breaks a copy of the source in one place after the other. Its first run showed that the random steps of decide/lease did not bite: 'no drift margin', 'extended without a majority', 'permit cached over a stop' and 'judge in a hurry' lived, as all boxes were brought up to date too often.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build trial test lint run fuzz year replace leases fleetsim fleetscale mutants figures
+.PHONY: build trial test lint run fuzz year replace leases takeover crowd fleetsim fleetscale mutants figures
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -54,11 +54,23 @@
 leases: trial
 	bin/cairnctl trial leases --seed $(SEED)
 
+# Kill 200 holders, one after the other, and measure how soon another box acts; ten minutes.
+takeover: trial
+	bin/cairnctl trial takeover --seed $(SEED)
+
+# A fleet of 100 real processes: its talk, its memory, the loss of its leader; two minutes.
+crowd: trial
+	bin/cairnctl trial crowd
+
 # The same fleets in virtual time: every order of steps of three boxes, then 2,000 seeds with drawn faults; a minute.
 fleetsim: build
 	LEASE_DEPTH=5 go test -count=1 -run 'TestEveryOrder' -v ./internal/decide/lease | grep -E 'states|ok|FAIL'
 	bin/cairnctl trial fleetsim --seed $(SEED)
 
+# Break the source in one place after the other: each is found by the test that is named for it. Two minutes.
+mutants: build
+	bin/cairnctl trial mutants
+
 # What a large fleet says: 10, 100, 300 and 1,000 boxes in virtual time; 4 minutes.
 fleetscale: build
 	for n in 10 100 300 1000; do bin/cairnctl trial fleetsim --members $$n || exit 1; done
--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -29,6 +29,7 @@
 	"cairnlane/internal/lab/actor"
 	"cairnlane/internal/lab/fleetsim"
 	"cairnlane/internal/lab/leases"
+	"cairnlane/internal/lab/mutants"
 	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/standin/authority"
@@ -91,6 +92,20 @@
 			Site     string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Program  string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
 		} `cmd:"" help:"Have real processes act under leases on loopback, with faults in and between them."`
+		Takeover struct {
+			Seed    uint64        `default:"1" help:"Draws load and what the boxes do."`
+			Count   int           `default:"200" help:"How many holders are killed."`
+			Term    time.Duration `default:"1s" help:"Of the leases."`
+			Site    string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
+			Program string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
+		} `cmd:"" help:"Kill one holder after the other and measure how soon another box acts."`
+		Crowd struct {
+			Boxes   int           `default:"100" help:"How many processes."`
+			Term    time.Duration `default:"10s" help:"Of the leases."`
+			Span    time.Duration `default:"20s" help:"How long their talk is measured."`
+			Site    string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
+			Program string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
+		} `cmd:"" help:"Measure a fleet of many real processes."`
 		Fleetsim struct {
 			Seed    uint64        `default:"1" help:"The first seed."`
 			Seeds   int           `default:"2000" help:"How many are played."`
@@ -98,6 +113,10 @@
 			Members int           `default:"0" help:"Play one large fleet without faults in place of seeds, and measure its talk."`
 			Term    time.Duration `default:"10s" help:"Of the large fleet's leases."`
 		} `cmd:"" help:"Play fleets in virtual time, with drawn faults."`
+		Mutants struct {
+			Root    string `default:"." type:"existingdir" help:"The source."`
+			Workers int    `default:"4" help:"How many side by side."`
+		} `cmd:"" help:"Break the source in one place after the other and see that a test finds it."`
 		Act struct {
 			Resource string        `required:""`
 			Thing    string        `required:""`
@@ -193,8 +212,22 @@
 		return o.replace(w)
 	case "trial leases":
 		return o.leases(w)
+	case "trial takeover":
+		return o.takeover(w)
+	case "trial crowd":
+		return o.crowd(w)
 	case "trial fleetsim":
 		return o.fleetsim(w)
+	case "trial mutants":
+		caught, alive, err := mutants.Run(o.Trial.Mutants.Root, mutants.Leases, o.Trial.Mutants.Workers, w)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "figures: mutants=%d caught=%d alive=%d\n", len(mutants.Leases), caught, len(alive))
+		if len(alive) > 0 {
+			return fmt.Errorf("missed: %s live", strings.Join(alive, ", "))
+		}
+		return nil
 	case "trial act":
 		a := o.Trial.Act
 		return actor.Command(a.Resource, a.Thing, a.Box, a.For)
@@ -358,7 +391,7 @@
 	}
 	cfg := leases.Config{Seed: t.Seed, Boxes: t.Boxes, Faults: t.Faults, Span: t.Span, Kinds: rig.Kinds, Clean: t.Clean, Clocks: true, Ctl: self, Example: t.Site, Progress: w,
 		Terms: lease.Terms{Term: 2 * time.Second, Drift: 0.02}, Election: 400 * time.Millisecond,
-		Serve: func(path string) *exec.Cmd { return exec.Command(t.Program, "serve", "--config", path) }}
+		Serve: serveBy(t.Program)}
 	if t.Schedule != "" {
 		raw, err := os.ReadFile(t.Schedule)
 		if err != nil {
@@ -408,6 +441,54 @@
 	return nil
 }
 
+// serveBy starts a box with a program.
+func serveBy(program string) func(string) *exec.Cmd {
+	return func(path string) *exec.Cmd { return exec.Command(program, "serve", "--config", path) }
+}
+
+// takeover kills holders; an error says which bounds were missed.
+func (o *options) takeover(w io.Writer) error {
+	t := o.Trial.Takeover
+	dir, err := os.MkdirTemp("", "fl")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := leases.Run(leases.Config{Seed: t.Seed, Boxes: 7, Schedule: rig.Schedule{}, Clean: t.Count, Clocks: true, Example: t.Site, Dir: dir, Progress: w,
+		Terms: lease.Terms{Term: t.Term, Drift: 0.02}, Election: 400 * time.Millisecond, Serve: serveBy(t.Program)})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w, f)
+	missed := f.Missed()
+	if f.VacancyMax > f.VacancyBound || f.Vacancies < t.Count {
+		missed = append(missed, fmt.Sprintf("%d takeovers, the longest after %v", f.Vacancies, f.VacancyMax))
+	}
+	if len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
+// crowd measures many processes.
+func (o *options) crowd(w io.Writer) error {
+	t := o.Trial.Crowd
+	dir, err := os.MkdirTemp("", "fl")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := leases.Crowd(leases.Config{Boxes: t.Boxes, Example: t.Site, Dir: dir, Progress: w, Terms: lease.Terms{Term: t.Term, Drift: 0.01}, Election: time.Second, Serve: serveBy(t.Program)}, t.Span)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w, f)
+	if f.Lost > 0 {
+		return fmt.Errorf("missed: %d boxes lost their sessions although nothing failed", f.Lost)
+	}
+	return nil
+}
+
 // fleetsim plays fleets in virtual time; an error says which bounds were missed.
 func (o *options) fleetsim(w io.Writer) error {
 	t := o.Trial.Fleetsim
--- a/internal/decide/lease/model_test.go
+++ b/internal/decide/lease/model_test.go
@@ -27,6 +27,7 @@
 	next  uint64 // nonce
 	tasks []string
 	slots int
+	mute  map[*simBox]bool // left out of what all do together
 	// what the histories showed
 	acts, grants int
 	lastToken    uint64
@@ -42,7 +43,7 @@
 }
 
 func newWorld(boxes int, drift float64, slots int, tasks ...string) *world {
-	w := &world{terms: Terms{Term: 12 * time.Second, Drift: drift}, tasks: tasks, slots: slots}
+	w := &world{terms: Terms{Term: 12 * time.Second, Drift: drift}, tasks: tasks, slots: slots, mute: map[*simBox]bool{}}
 	w.all = NewTable(w.terms)
 	for i := range boxes {
 		rate := 1.0
@@ -118,6 +119,23 @@
 	}
 }
 
+// settle has all that are not mute talk, follow and judge until nothing is left to say.
+func (w *world) settle() {
+	for range 3 {
+		for _, b := range w.boxes {
+			if w.mute[b] {
+				continue
+			}
+			b.talk(w)
+			b.judgeNow(w)
+			for len(w.wire) > 0 {
+				w.apply(0, false)
+			}
+			b.follow(w, 1000)
+		}
+	}
+}
+
 func (w *world) say(c Command) {
 	if len(w.wire) < 24 && !slices.Contains(w.wire, c) {
 		w.wire = append(w.wire, c)
@@ -233,13 +251,22 @@
 					w.apply(0, false)
 				}
 			},
-			"settle": func(t *rapid.T) {
+			"settle":      func(t *rapid.T) { w.settle() },
+			"settle more": func(t *rapid.T) { w.settle(); w.true_ += w.terms.Term / 12; w.settle() },
+			"silence": func(t *rapid.T) { // a box that is cut off, or stopped between two steps
+				b := box(t)
+				w.mute[b] = !w.mute[b] && len(w.mute) < 2
+				if !w.mute[b] {
+					delete(w.mute, b)
+				}
+			},
+			"all want all": func(t *rapid.T) {
 				for _, b := range w.boxes {
-					b.talk(w)
-					for len(w.wire) > 0 {
-						w.apply(0, false)
+					for _, task := range w.tasks {
+						if b.open(task) == nil && !w.mute[b] {
+							b.h.Acquire(b.now(w), Request{Task: task, Slots: slots, Sticky: task == "probe"})
+						}
 					}
-					b.follow(w, 1000)
 				}
 			},
 			"lose": func(t *rapid.T) { w.wire = nil },
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -107,6 +107,7 @@
 	agrees   bool // as the source says
 	leader   string
 	poll     time.Duration
+	review   time.Duration // when to look at the voters next
 	out      []Envelope
 	applied  []Applied
 	moved    bool // the state has changed since Take
@@ -583,7 +584,11 @@
 	if now >= l.poll {
 		l.poll = now + l.cfg.Timing.Poll
 		l.ask(now)
+	}
+	if l.core != nil && now >= l.review {
+		l.review = now + l.cfg.Timing.Poll/4
 		l.reconcile(now)
+		next = min(next, l.review)
 	}
 	l.turn(now)
 	if len(l.gather) > 0 {
--- a/internal/fleet/peer/links.go
+++ b/internal/fleet/peer/links.go
@@ -65,7 +65,7 @@
 	ln      netpoll.Listener
 	loop    netpoll.EventLoop
 	noise   [len(reasons) + 3]rate.Sometimes // one for each reason: a noisy one hides no other
-	count   struct{ up, ended, refused, in, out, dropped, flooded *counters.Counter }
+	count   struct{ up, ended, refused, in, out, bytes, dropped, flooded *counters.Counter }
 
 	mu        sync.Mutex
 	peers     map[string]*end
@@ -126,7 +126,7 @@
 		l.noise[i] = rate.Sometimes{First: 5, Interval: time.Second}
 	}
 	for name, c := range map[string]**counters.Counter{"up": &l.count.up, "ended": &l.count.ended, "refused": &l.count.refused, "messages_in": &l.count.in,
-		"messages_out": &l.count.out, "messages_dropped": &l.count.dropped, "messages_flooded": &l.count.flooded} {
+		"messages_out": &l.count.out, "bytes_out": &l.count.bytes, "messages_dropped": &l.count.dropped, "messages_flooded": &l.count.flooded} {
 		*c = cfg.Set.Get("fleet_links_" + name)
 	}
 	for name := range cfg.Peers {
@@ -403,6 +403,7 @@
 		}
 		k.mu.Unlock()
 		idle.Reset(idleTime + time.Second)
+		l.count.bytes.Add(len(batch))
 		if _, err := k.Connection.Write(batch); err != nil {
 			k.end(fmt.Errorf("write: %w", err))
 			return
--- /dev/null
+++ b/internal/lab/leases/crowd.go
@@ -0,0 +1,133 @@
+package leases
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet"
+	"cairnlane/internal/lab/rig"
+)
+
+// CrowdFigures are those of many processes on one machine.
+type CrowdFigures struct {
+	Processes                 int
+	AllIn                     time.Duration
+	MessagesBox, BytesBox     float64 // a second
+	MessagesVoter, BytesVoter float64 // of the busiest voter
+	Renewals                  float64 // a second
+	MemoryMedian, MemoryMax   int64   // resident, in KB
+	AgreeAfterLoss            time.Duration
+	Lost                      int
+}
+
+// Crowd starts a fleet of many boxes that ask for nothing, measures its talk, and kills its leader.
+func Crowd(cfg Config, span time.Duration) (*CrowdFigures, error) {
+	if cfg.Progress == nil {
+		cfg.Progress = io.Discard
+	}
+	site, err := rig.NewSite(rig.SiteConfig{Seed: 1, Dir: cfg.Dir, Boxes: cfg.Boxes, Voters: []int{0, 1, 2}, Terms: cfg.Terms, Election: cfg.Election, Example: cfg.Example, Serve: cfg.Serve, Sparse: true})
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	f := &CrowdFigures{Processes: cfg.Boxes}
+	began := time.Now()
+	if err := site.Start(); err != nil {
+		return nil, err
+	}
+	f.AllIn = time.Since(began)
+	fmt.Fprintf(cfg.Progress, "%d boxes are in after %v\n", cfg.Boxes, f.AllIn.Round(time.Millisecond))
+	time.Sleep(cfg.Terms.Pause())
+	type box struct {
+		messages, bytes int64
+		session         uint64
+		commands        int64
+	}
+	read := func() (list []box, err error) {
+		for _, b := range site.Boxes {
+			s, err := b.Control().Status()
+			if err != nil {
+				return nil, err
+			}
+			st, err := b.Control().Fleet().Status()
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, box{s.Counters["fleet_links_messages_out"], s.Counters["fleet_links_bytes_out"], st.Session, st.Counts.Commands})
+		}
+		return list, nil
+	}
+	at := time.Now()
+	first, err := read()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(span)
+	second, err := read()
+	if err != nil {
+		return nil, err
+	}
+	seconds := time.Since(at).Seconds()
+	for i := range first {
+		m, b := float64(second[i].messages-first[i].messages)/seconds, float64(second[i].bytes-first[i].bytes)/seconds
+		f.MessagesBox, f.BytesBox = f.MessagesBox+m/float64(cfg.Boxes), f.BytesBox+b/float64(cfg.Boxes)
+		if i < 3 {
+			f.MessagesVoter, f.BytesVoter = max(f.MessagesVoter, m), max(f.BytesVoter, b)
+		}
+		if second[i].session != first[i].session {
+			f.Lost++
+		}
+	}
+	f.Renewals = float64(second[0].commands-first[0].commands) / seconds
+	var sizes []int64
+	for _, b := range site.Boxes {
+		sizes = append(sizes, resident(b.Pid()))
+	}
+	slices.Sort(sizes)
+	f.MemoryMedian, f.MemoryMax = sizes[len(sizes)/2], sizes[len(sizes)-1]
+	leader := site.Leader()
+	if leader == nil {
+		return nil, errors.New("nobody leads")
+	}
+	lost := time.Now()
+	leader.Kill()
+	last := site.Boxes[len(site.Boxes)-1].Control().Fleet()
+	id, err := last.Begin(lease.Request{Task: "after the loss", Slots: 1})
+	if err != nil {
+		return nil, err
+	}
+	for time.Since(lost) < time.Minute {
+		var s fleet.RunStatus
+		if s, err = last.Poll(id, 100*time.Millisecond); err != nil || s.Left > 0 {
+			break
+		}
+	}
+	f.AgreeAfterLoss = time.Since(lost)
+	return f, err
+}
+
+// resident is a process's memory in KB.
+func resident(pid int) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := bytes.Cut(raw, []byte("VmRSS:"))
+	if f := bytes.Fields(rest); len(f) > 0 {
+		n, _ := strconv.ParseInt(string(f[0]), 10, 64)
+		return n
+	}
+	return 0
+}
+
+func (f *CrowdFigures) String() string {
+	return fmt.Sprintf("figures: processes=%d all_in_ms=%d messages_box=%.1f bytes_box=%.0f messages_voter=%.0f bytes_voter=%.0f renewals_s=%.1f memory_median_kb=%d memory_max_kb=%d agree_after_loss_ms=%d sessions_lost=%d",
+		f.Processes, f.AllIn.Milliseconds(), f.MessagesBox, f.BytesBox, f.MessagesVoter, f.BytesVoter, f.Renewals, f.MemoryMedian, f.MemoryMax, f.AgreeAfterLoss.Milliseconds(), f.Lost)
+}
--- /dev/null
+++ b/internal/lab/mutants/mutants.go
@@ -0,0 +1,142 @@
+// Package mutants shows that the tests bite: it breaks a copy of the source in one place after the other and runs the test that
+// is to find it.
+package mutants
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mutant is one thing that is broken.
+type Mutant struct {
+	Name     string
+	File     string
+	From, To string // the first is in the file once
+	Package  string
+	Test     string // finds it
+}
+
+// Leases are those of the leases.
+var Leases = []Mutant{
+	{"lease counted from the answer", "internal/decide/lease/holder.go", "h.until = max(h.until, h.open[0].at+h.terms.Acting())", "h.until = max(h.until, now+h.terms.Acting())", "./internal/decide/lease", "TestAHolderActsFromBeforeItAsked"},
+	{"no drift margin", "internal/decide/lease/lease.go", "return time.Duration(float64(t.Term) * (1 - t.Drift) / (1 + t.Drift))", "return t.Term", "./internal/decide/lease", "TestNoTwoActAtOnceOverRandomSteps"},
+	{"token not raised at a takeover", "internal/decide/lease/lease.go", "		t.Token++\n		task.Holders = append", "		t.Token = max(t.Token, 1)\n		task.Holders = append", "./internal/decide/lease", "TestTheTable"},
+	{"token checked after the effect", "internal/fleet/task.go", "	if err != nil {\n		return err\n	}\n	err = effect(p)\n", "	if e := effect(p); err == nil {\n		err = e\n	}\n", "./internal/fleet", "TestAnEffectIsMadeUnderAPermitAlone"},
+	{"extended without a majority", "internal/decide/lease/holder.go", "		h.make(now, Command{Kind: Renew})\n", "		h.make(now, Command{Kind: Renew})\n		h.until = now + h.terms.Acting()\n", "./internal/decide/lease", "TestNoTwoActAtOnceOverRandomSteps"},
+	{"expiry by the wall clock", "internal/clock/boot.go", "return skew(time.Duration(ts.Nano()))", "return skew(time.Duration(time.Now().UnixNano()))", "./internal/clock", "TestBootCountsFromTheStart"},
+	{"vote sent that is not stored", "internal/fleet/ledger/core.go", "		w := Write{Hard: rd.HardState, Entries: rd.Entries}\n", "		w := Write{Entries: rd.Entries}\n", "./internal/fleet/ledger", "TestAVoteIsKeptOverARestart"},
+	{"goes on although the disk is full", "internal/fleet/ledger/core.go", "if err := c.disk.Save(w); err != nil {\n				return err\n			}\n		}\n		if w.Snapshot", "if err := c.disk.Save(w); err != nil {\n			}\n		}\n		if w.Snapshot", "./internal/fleet/ledger", "TestNothingIsSaidThatIsNotOnTheDisk"},
+	{"slot of a dead box given out at once", "internal/decide/lease/lease.go", "			case !l.Sticky:\n", "			case true:\n", "./internal/decide/lease", "TestTheTable"},
+	{"old voter let back in by a copy", "internal/fleet/ledger/store.go", "copied := string(meta.Get(placeKey)) != s.at", "copied := false", "./internal/fleet/ledger", "TestACopyOfAFolderIsNoVoter"},
+	{"removed voter goes on", "internal/fleet/ledger/ledger.go", "	l.cfg.Told(\"this box votes no more\")\n", "	if l.id != 0 {\n		return\n	}\n", "./internal/lab/fleetsim", "TestARemovedVoterThatComesBackVotesNoMore"},
+	{"queue that forgets", "internal/decide/lease/lease.go", "func(w Waiter) bool { return w.Session == s.ID })\n		kept", "func(w Waiter) bool { return true })\n		kept", "./internal/decide/lease", "TestTheTable"},
+	{"permit cached over a stop", "internal/decide/lease/holder.go", "		if now >= h.until {\n			h.tick(now)\n		} else if", "		if false {\n			h.tick(now)\n		} else if now < h.until &&", "./internal/decide/lease", "TestNoTwoActAtOnceOverRandomSteps"},
+	{"command's children left alive", "internal/fleet/command/command.go", "			for (fleet.Groups{}).Alive(pgid) {", "			for false && (fleet.Groups{}).Alive(pgid) {", "./internal/fleet/command", "TestChildrenThatACommandLeavesBehind"},
+	{"command begins before its guard knows", "internal/fleet/command/command.go", "`read -r -n1 go <&3 || exit 125; exec", "`exec", "./internal/fleet/command", "TestACommandDoesNotBeginBefore"},
+	{"desk does not end who is not looked after", "internal/fleet/desk.go", "	away := !r.detach && ", "	away := false && !r.detach && ", "./internal/fleet", "TestTheDeskEndsWhatNobodyLooksAfter"},
+	{"end of a session that was renewed", "internal/decide/lease/lease.go", "		if s.Seq != c.Seq {\n			return ErrRenewed\n		}\n", "", "./internal/decide/lease", "TestTheTable"},
+	{"judge in a hurry", "internal/decide/lease/judge.go", "j.seen[id] = sight{seq: s.Seq, at: now, ask: now + t.Terms.Term}", "j.seen[id] = sight{seq: s.Seq, at: now, ask: now + t.Terms.Term/2}", "./internal/decide/lease", "TestNoTwoActAtOnceOverRandomSteps"},
+	{"a new process takes over at once", "internal/decide/lease/lease.go", "		old.Past = true\n", "		t.end(old, false)\n", "./internal/decide/lease", "TestTheTable"},
+	{"a new era grants at once", "internal/decide/lease/lease.go", "t.Token, t.Closed = max(t.Token, token), index", "t.Token = max(t.Token, token)", "./internal/lab/fleetsim", "TestANewEraIsAboveAllNumbersAndGrantsNothingForATerm"},
+	{"numbers begin again in a new era", "internal/fleet/ledger/state.go", "	n.Era++\n", "", "./internal/fleet/ledger", "TestAnEraBeginsAboveAllNumbers"},
+	{"message taken without its MAC", "internal/fleet/peer/session.go", "	if !hmac.Equal(sum, tag(s.readBy, s.got, body)) {", "	if false && !hmac.Equal(sum, tag(s.readBy, s.got, body)) {", "./internal/fleet/peer", "TestAnAlteredMessageEndsTheSession"},
+}
+
+// testTime bounds one test.
+const testTime = 3 * time.Minute
+
+// Run breaks copies of the tree at root and returns the names of the mutants that live.
+func Run(root string, list []Mutant, workers int, w io.Writer) (caught int, alive []string, err error) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := 0
+	for range workers {
+		dir, err := os.MkdirTemp("", "mutant")
+		if err != nil {
+			return 0, nil, err
+		}
+		defer os.RemoveAll(dir)
+		if out, err := exec.Command("sh", "-c", fmt.Sprintf("cd %q && git ls-files -co --exclude-standard -- go.mod go.sum '*.go' examples deploy | tar cf - -T - | tar xf - -C %q", root, dir)).CombinedOutput(); err != nil {
+			return 0, nil, fmt.Errorf("copy: %w: %s", err, out)
+		}
+		wait.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= len(list) {
+					return
+				}
+				m := list[i]
+				why, dead := m.try(dir)
+				mu.Lock()
+				if dead {
+					caught++
+				} else {
+					alive = append(alive, m.Name)
+				}
+				fmt.Fprintf(w, "%-8v %-45s %s: %s\n", map[bool]string{true: "caught", false: "LIVES"}[dead], m.Name, m.Test, why)
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return caught, alive, nil
+}
+
+// try breaks one thing, runs its test and mends it again.
+func (m Mutant) try(dir string) (why string, dead bool) {
+	path := filepath.Join(dir, m.File)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error(), false
+	}
+	if n := strings.Count(string(raw), m.From); n != 1 {
+		return fmt.Sprintf("the place is there %d times in %s", n, m.File), false
+	}
+	defer os.WriteFile(path, raw, 0o644)
+	if err := os.WriteFile(path, []byte(strings.Replace(string(raw), m.From, m.To, 1)), 0o644); err != nil {
+		return err.Error(), false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	build := exec.CommandContext(ctx, "go", "vet", m.Package)
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return "does not build: " + lastLine(out), false
+	}
+	cmd := exec.CommandContext(ctx, "go", "test", "-count=1", "-run", m.Test, m.Package)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	switch {
+	case ctx.Err() != nil:
+		return "the test does not end", true
+	case err == nil && strings.Contains(string(out), "no tests to run"):
+		return "there is no such test", false
+	case err == nil:
+		return "the test passes", false
+	}
+	return firstFailure(out), true
+}
+
+func lastLine(out []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	return lines[len(lines)-1]
+}
+
+func firstFailure(out []byte) string {
+	for _, l := range strings.Split(string(out), "\n") {
+		if strings.Contains(l, "_test.go:") || strings.Contains(l, "[rapid] failed") {
+			return strings.TrimSpace(l)[:min(100, len(strings.TrimSpace(l)))]
+		}
+	}
+	return lastLine(out)
+}
--- a/internal/lab/rig/site.go
+++ b/internal/lab/rig/site.go
@@ -37,6 +37,7 @@
 	Serve    func(config string) *exec.Cmd // starts the program with a box's configuration
 	Env      func(box int) []string        // beside the system's; may be nil
 	Clocks   bool                          // run clocks fast and slow within the drift; a trial build
+	Sparse   bool                          // boxes that do not vote know the voters alone
 	Load     bool                          // routers send requests to all boxes
 }
 
@@ -160,6 +161,9 @@
 	var hcl strings.Builder
 	fmt.Fprintf(&hcl, "replica = \"site.json\"\nstate = \"state\"\nfleet {\n listen = %q\n key_file = %q\n election_ms = %d\n", fleetAddr, filepath.Join(s.cfg.Dir, "fleet.key"), s.cfg.Election.Milliseconds())
 	for _, o := range s.Boxes {
+		if s.cfg.Sparse && o != b && !s.isVoter(b) && !s.isVoter(o) {
+			continue
+		}
 		at := o.fleet
 		if o != b {
 			if at, err = s.Net.Relay(b.Index, o.Index, func() string { return o.fleet }); err != nil {
