--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -29,6 +29,7 @@
 	"cairnlane/internal/lab/actor"
 	"cairnlane/internal/lab/fleetsim"
 	"cairnlane/internal/lab/leases"
+	"cairnlane/internal/lab/members"
 	"cairnlane/internal/lab/mutants"
 	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
@@ -113,6 +114,9 @@
 			Members int           `default:"0" help:"Play one large fleet without faults in place of seeds, and measure its talk."`
 			Term    time.Duration `default:"10s" help:"Of the large fleet's leases."`
 		} `cmd:"" help:"Play fleets in virtual time, with drawn faults."`
+		Members struct {
+			Names []int `default:"10,100,300" sep:"," help:"Sizes."`
+		} `cmd:"" help:"Weigh gossip against the ledger's sessions as ways of knowing who is there."`
 		Mutants struct {
 			Root    string `default:"." type:"existingdir" help:"The source."`
 			Workers int    `default:"4" help:"How many side by side."`
@@ -218,6 +222,16 @@
 		return o.crowd(w)
 	case "trial fleetsim":
 		return o.fleetsim(w)
+	case "trial members":
+		for _, n := range o.Trial.Members.Names {
+			g, err := members.Gossip(n, 10*time.Second)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(w, "figures:", g)
+			fmt.Fprintln(w, "figures:", members.Sessions(n, members.Terms.Term))
+		}
+		return nil
 	case "trial mutants":
 		caught, alive, err := mutants.Run(o.Trial.Mutants.Root, mutants.Leases, o.Trial.Mutants.Workers, w)
 		if err != nil {
--- a/internal/fleet/peer/links_test.go
+++ b/internal/fleet/peer/links_test.go
@@ -23,6 +23,7 @@
 	set  *counters.Set
 	got  atomic.Int64
 	last atomic.Value
+	keys atomic.Value // [][]byte
 	mu   sync.Mutex
 	told []string
 }
@@ -56,8 +57,9 @@
 func start(t *testing.T, name string, peers map[string]string, key []byte, kinds []Kind) *node {
 	t.Helper()
 	n := &node{set: new(counters.Set)}
+	n.keys.Store([][]byte{key})
 	var err error
-	n.Links, err = Listen(Config{Name: name, Listen: peers[name], Peers: peers, Keys: func() ([][]byte, error) { return [][]byte{key}, nil }, Kinds: kinds, Now: since, Set: n.set,
+	n.Links, err = Listen(Config{Name: name, Listen: peers[name], Peers: peers, Keys: func() ([][]byte, error) { return n.keys.Load().([][]byte), nil }, Kinds: kinds, Now: since, Set: n.set,
 		Told: func(f string, a ...any) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -114,6 +116,45 @@
 	}
 }
 
+// TestAFleetKeyIsChangedUnderWay, box after box, with links that are opened anew at each step.
+func TestAFleetKeyIsChangedUnderWay(t *testing.T) {
+	peers := map[string]string{"a": address(t), "b": address(t)}
+	a, b := start(t, "a", peers, key(1), usual), start(t, "b", peers, key(1), usual)
+	works := func(step string) bool {
+		for _, n := range []*node{a, b} {
+			n.Links.mu.Lock()
+			var k *link
+			for _, p := range n.peers {
+				k = p.link
+			}
+			n.Links.mu.Unlock()
+			if k != nil {
+				k.end(nil)
+			}
+		}
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			a.Send("b", 0, []byte(step))
+			b.Send("a", 0, []byte(step))
+			if b.last.Load() == "a 0 "+step && a.last.Load() == "b 0 "+step {
+				return true
+			}
+		}
+		return false
+	}
+	old, both, next := [][]byte{key(1)}, [][]byte{key(1), key(2)}, [][]byte{key(2)}
+	for i, step := range [][2][][]byte{{old, old}, {both, old}, {both, both}, {next, both}, {next, next}} {
+		a.keys.Store(step[0])
+		b.keys.Store(step[1])
+		if !works(fmt.Sprint("step ", i)) {
+			t.Fatalf("step %d: %s %s", i, a.log(), b.log())
+		}
+	}
+	a.keys.Store(old)
+	if works("an old key") {
+		t.Error("the old key is still taken")
+	}
+}
+
 func TestStrangersCostABoundedAmountAndAreTold(t *testing.T) {
 	peers := map[string]string{"a": address(t), "b": address(t), "w": address(t)}
 	a := start(t, "a", peers, key(1), usual)
--- /dev/null
+++ b/internal/lab/fleetsim/members.go
@@ -0,0 +1,71 @@
+package fleetsim
+
+import (
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet"
+	"cairnlane/internal/fleet/ledger"
+)
+
+// MemberFigures are those of knowing who is there by the sessions of the ledger.
+type MemberFigures struct {
+	MessagesBox, BytesBox   float64
+	FirstNotices, AllNotice time.Duration
+	FalseAlarms             int
+}
+
+// Members plays a fleet of so many boxes, kills one, and then has a fifth of the rest be slow for a while.
+func Members(boxes int, term, slowBy time.Duration) (f MemberFigures) {
+	w := New(Config{Seed: 1, Boxes: boxes, Voters: 5, Terms: lease.Terms{Term: term, Drift: 0.01}, Timing: ledger.DefaultTiming, Tasks: 1, Delay: time.Millisecond})
+	w.measure = true
+	w.Advance(20 * time.Second)
+	clear(w.talk)
+	const span = 20 * time.Second
+	w.Advance(w.now + span)
+	for _, t := range w.talk {
+		f.MessagesBox += float64(t.messages) / span.Seconds() / float64(boxes)
+		f.BytesBox += float64(t.bytes) / span.Seconds() / float64(boxes)
+	}
+	victim := boxes - 1
+	w.kill(victim)
+	killed := w.now
+	for f.AllNotice == 0 && w.now < killed+time.Minute {
+		w.Advance(w.now + 50*time.Millisecond)
+		n := 0
+		for i, b := range w.boxes[:victim] {
+			for _, m := range b.node.Members(b.clock(w)) {
+				if m.Name == w.boxes[victim].name && m.State == fleet.Dead {
+					n++
+					break
+				}
+			}
+			if i == 0 && n == 0 && f.FirstNotices > 0 {
+				break
+			}
+		}
+		if n > 0 && f.FirstNotices == 0 {
+			f.FirstNotices = w.now - killed
+		}
+		if n == victim {
+			f.AllNotice = w.now - killed
+		}
+	}
+	before := map[string]uint64{}
+	for name, id := range w.boxes[0].node.Ledger().State().Table.Names {
+		before[name] = id
+	}
+	for i := range boxes / 5 {
+		for k := range w.boxes {
+			w.slow[[2]int{i, k}] = slowBy
+		}
+	}
+	w.Advance(w.now + 2*span)
+	now := w.boxes[boxes/2].node.Ledger().State().Table.Names
+	for name, id := range before {
+		if now[name] != id {
+			f.FalseAlarms++
+		}
+	}
+	return f
+}
