--- a/internal/fleet/peer/links_test.go
+++ b/internal/fleet/peer/links_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// TestAFloodIsLeftOutAndTold has a peer with the key send far more than boxes do.
+func TestAFloodIsLeftOutAndTold(t *testing.T) {
+	peers := map[string]string{"a": address(t), "b": address(t)}
+	wide := []Kind{{Messages: 1 << 20, Bytes: 64 << 20}}
+	a, b := start(t, "a", peers, key(1), wide), start(t, "b", peers, key(1), wide)
+	const sent = 4 * messagesRate
+	for i := range sent {
+		a.Send("b", 0, []byte{byte(i)})
+	}
+	flooded := b.set.Get("fleet_links_messages_flooded")
+	until(t, "all that was sent", func() bool { return b.got.Load()+flooded.Load() == sent })
+	if flooded.Load() == 0 || b.got.Load() < messagesRate || !strings.Contains(b.log(), "a sends more than") {
+		t.Errorf("%d taken, %d left out; told: %s", b.got.Load(), flooded.Load(), b.log())
+	}
+}
+
 // TestAFleetKeyIsChangedUnderWay, box after box, with links that are opened anew at each step.
 func TestAFleetKeyIsChangedUnderWay(t *testing.T) {
 	peers := map[string]string{"a": address(t), "b": address(t)}
