Weigh memberlist over a transport of our own that nobody waits at

Seen: trial members gave messages_box=0 and no notice of a death for memberlist. Its mock transport hands each packet over without a buffer, so whoever writes to a box that is dead waits for good (mock_transport.go: 'dest.packetCh <-'). Ruled out: the join, which reached all. The measurement has a transport of its own now: bounded, and what a box has no room for is lost.

--- a/internal/lab/members/members.go
+++ b/internal/lab/members/members.go
@@ -35,37 +35,89 @@
 // slowBy is by how much what a slow box says comes late.
 const slowBy = 700 * time.Millisecond
 
-// counted is a transport that counts, and that is slow if it is told so.
-type counted struct {
-	*memberlist.MockTransport
-	messages, bytes *atomic.Int64
-	slow            *atomic.Bool
-	dead            *atomic.Bool
+// network carries memberlist's packets and streams between the names of a measurement. What a box has no room for is lost, as on
+// a network; nobody waits for a box that is dead.
+type network struct {
+	mu              sync.Mutex
+	boxes           map[string]*box // by address
+	messages, bytes atomic.Int64
 }
 
-func (c counted) WriteTo(b []byte, addr string) (time.Time, error) {
-	return c.WriteToAddress(b, memberlist.Address{Addr: addr})
+// box implements memberlist.Transport.
+type box struct {
+	net        *network
+	addr       string
+	packets    chan *memberlist.Packet
+	streams    chan net.Conn
+	slow, dead atomic.Bool
 }
 
-func (c counted) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	if c.dead.Load() {
-		return time.Now(), nil
+// packetsMost is how many packets wait for a box.
+const packetsMost = 1024
+
+func (n *network) box(i int) *box {
+	b := &box{net: n, addr: fmt.Sprintf("127.0.0.1:%d", i+1), packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn, packetsMost)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.boxes[b.addr] = b
+	return b
+}
+
+func (n *network) find(addr string) *box {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if b := n.boxes[addr]; b != nil && !b.dead.Load() {
+		return b
+	}
+	return nil
+}
+
+func (b *box) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	a, err := net.ResolveTCPAddr("tcp", b.addr)
+	return a.IP, a.Port, err
+}
+
+func (b *box) WriteTo(p []byte, addr string) (time.Time, error) {
+	now := time.Now()
+	if b.dead.Load() {
+		return now, nil
+	}
+	b.net.messages.Add(1)
+	b.net.bytes.Add(int64(len(p)))
+	from, _ := net.ResolveUDPAddr("udp", b.addr)
+	data := append([]byte(nil), p...)
+	carry := func() {
+		if o := b.net.find(addr); o != nil {
+			select {
+			case o.packets <- &memberlist.Packet{Buf: data, From: from, Timestamp: time.Now()}:
+			default:
+			}
+		}
 	}
-	c.messages.Add(1)
-	c.bytes.Add(int64(len(b)))
-	if c.slow.Load() {
-		p := append([]byte(nil), b...)
-		time.AfterFunc(slowBy, func() { c.MockTransport.WriteToAddress(p, a) })
-		return time.Now(), nil
+	if b.slow.Load() {
+		time.AfterFunc(slowBy, carry)
+	} else {
+		carry()
 	}
-	return c.MockTransport.WriteToAddress(b, a)
+	return now, nil
 }
 
-func (c counted) DialAddressTimeout(a memberlist.Address, t time.Duration) (net.Conn, error) {
-	if c.dead.Load() {
+func (b *box) PacketCh() <-chan *memberlist.Packet { return b.packets }
+func (b *box) StreamCh() <-chan net.Conn           { return b.streams }
+func (b *box) Shutdown() error                     { return nil }
+
+func (b *box) DialTimeout(addr string, _ time.Duration) (net.Conn, error) {
+	o := b.net.find(addr)
+	if o == nil || b.dead.Load() {
+		return nil, io.ErrClosedPipe
+	}
+	mine, theirs := net.Pipe()
+	select {
+	case o.streams <- theirs:
+		return mine, nil
+	default:
 		return nil, io.ErrClosedPipe
 	}
-	return c.MockTransport.DialAddressTimeout(a, t)
 }
 
 // watch counts who was taken for dead, and when each box noticed a death.
@@ -94,21 +146,21 @@
 // Gossip measures memberlist with its settings for a local network.
 func Gossip(names int, span time.Duration) (f Figures, err error) {
 	f = Figures{Way: "memberlist", Names: names}
-	var network memberlist.MockNetwork
-	var messages, bytes atomic.Int64
+	wire := &network{boxes: map[string]*box{}}
 	w := &watch{gone: map[string]bool{}}
-	slow, dead := make([]atomic.Bool, names), make([]atomic.Bool, names)
+	var boxes []*box
 	var list []*memberlist.Memberlist
 	defer func() {
 		for i, m := range list {
-			dead[i].Store(true)
+			boxes[i].dead.Store(true)
 			m.Shutdown()
 		}
 	}()
 	for i := range names {
 		cfg := memberlist.DefaultLANConfig()
 		cfg.Name = fmt.Sprintf("n%d", i)
-		cfg.Transport = counted{network.NewTransport(cfg.Name), &messages, &bytes, &slow[i], &dead[i]}
+		boxes = append(boxes, wire.box(i))
+		cfg.Transport = boxes[i]
 		cfg.Events = seen{w}
 		cfg.Logger = log.New(io.Discard, "", 0)
 		m, err := memberlist.Create(cfg)
@@ -123,14 +175,14 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
-	messages.Store(0)
-	bytes.Store(0)
+	wire.messages.Store(0)
+	wire.bytes.Store(0)
 	time.Sleep(span)
-	f.MessagesBox, f.BytesBox = float64(messages.Load())/span.Seconds()/float64(names), float64(bytes.Load())/span.Seconds()/float64(names)
+	f.MessagesBox, f.BytesBox = float64(wire.messages.Load())/span.Seconds()/float64(names), float64(wire.bytes.Load())/span.Seconds()/float64(names)
 	w.mu.Lock()
 	w.victim, w.killed, w.notices = fmt.Sprintf("n%d", names-1), time.Now(), nil
 	w.mu.Unlock()
-	dead[names-1].Store(true)
+	boxes[names-1].dead.Store(true)
 	list[names-1].Shutdown()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		w.mu.Lock()
@@ -149,7 +201,7 @@
 	clear(w.gone)
 	w.mu.Unlock()
 	for i := range names / 5 {
-		slow[i].Store(true)
+		boxes[i].slow.Store(true)
 	}
 	time.Sleep(2 * span)
 	w.mu.Lock()
