--- a/internal/fleet/desk.go
+++ b/internal/fleet/desk.go
@@ -107,30 +107,24 @@
 	return r, nil
 }
 
-// Poll tells how a slot stands, at once or when it has changed or the time is over.
+// Poll tells how a slot stands: when something has changed that a caller would act upon, or when the time is over.
 func (d *Desk) Poll(id uint64, wait time.Duration) (RunStatus, error) {
 	r, err := d.find(id)
 	if err != nil {
 		return RunStatus{}, err
 	}
-	first, left, changed := r.task.Look()
-	end := time.NewTimer(min(wait, r.limited/2))
-	defer end.Stop()
-	for was := first; was.State == first.State && was.Place == first.Place && was.Stop == first.Stop && wait > 0; {
+	over := time.NewTimer(min(wait, r.limited/2))
+	defer over.Stop()
+	ask, left, changed := r.task.Look()
+	for first, waiting := ask, wait > 0; waiting && same(first, ask); {
 		select {
 		case <-changed:
-			was, left, changed = r.task.Look()
-			if was.State == lease.Renewing && first.State == lease.Held || was.State == lease.Held && first.State == lease.Renewing {
-				first.State = was.State // nothing that a caller would do something about
-			}
-			if was.State != first.State || was.Place != first.Place || was.Stop != first.Stop {
-				wait = 0
-			}
-		case <-end.C:
-			wait = 0
+			ask, left, changed = r.task.Look()
+		case <-over.C:
+			ask, left, _ = r.task.Look()
+			waiting = false
 		}
 	}
-	ask, left, _ := r.task.Look()
 	d.mu.Lock()
 	r.seen = d.f.cfg.Now()
 	d.mu.Unlock()
@@ -141,6 +135,17 @@
 	return s, nil
 }
 
+// same tells whether a caller would do the same about both. A renewal under way is nothing to act upon.
+func same(a, b lease.Ask) bool {
+	held := func(s lease.State) lease.State {
+		if s == lease.Renewing {
+			return lease.Held
+		}
+		return s
+	}
+	return held(a.State) == held(b.State) && a.Place == b.Place && a.Stop == b.Stop
+}
+
 // Keep has a slot kept although nobody comes back for it.
 func (d *Desk) Keep(id uint64) error {
 	r, err := d.find(id)
