Keep a chained log of what a box did, that shows what was cut, rewritten or left out

Not wired into a box yet. Tests: a cut at every byte and a flip of every byte are found; segments removed, a folder put back, put back and gone on with, rewritten by the box's own program; a disk that is full in the middle of an entry. Also: a table of leases holds 65,536 places at most, so that a state fits one message; the bounds are tested.

--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -157,7 +157,8 @@
 	MaxTasks    = 4096
 	MaxWaiters  = 1024 // of one task
 	MaxSessions = 4096
-	MaxName     = 128 // bytes of a name
+	MaxPlaces   = 1 << 16 // holders and waiters of all tasks together
+	MaxName     = 128     // bytes of a name
 	MaxSlots    = 1024
 )
 
@@ -322,7 +323,7 @@
 	}
 	task := t.Tasks[c.Task]
 	switch {
-	case task == nil && len(t.Tasks) >= MaxTasks:
+	case t.places() >= MaxPlaces, task == nil && len(t.Tasks) >= MaxTasks:
 		return ErrFull
 	case task == nil:
 		task = &Task{Slots: c.Slots}
@@ -338,6 +339,14 @@
 	return nil
 }
 
+// places counts holders and waiters, so that a state stays within what one message may hold.
+func (t *Table) places() (n int) {
+	for _, task := range t.Tasks {
+		n += len(task.Holders) + len(task.Queue)
+	}
+	return n
+}
+
 // grant gives free slots to those who wait: the highest priority first, among equals who came first, and whoever was
 // passed too often before all of them. A task that nobody is left for is forgotten.
 func (t *Table) grant(name string, task *Task) {
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -250,6 +250,53 @@
 	}
 }
 
+// TestATableIsBounded asks for more of everything than is kept.
+func TestATableIsBounded(t *testing.T) {
+	table := NewTable(Terms{Term: time.Second})
+	index := uint64(0)
+	var sessions []uint64
+	for {
+		index++
+		if err := table.Apply(index, Command{Kind: Join, Box: fmt.Sprint("box", index), Nonce: index, Try: 1}); err == ErrFull {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		sessions = append(sessions, index)
+	}
+	seq := map[uint64]uint64{}
+	ask := func(i int, task string) error {
+		s := sessions[i%len(sessions)]
+		seq[s]++
+		return table.Apply(0, Command{Kind: Acquire, Session: s, Seq: seq[s], Task: task, Slots: 1})
+	}
+	full := map[string]int{}
+	for i := range 80 {
+		for k := range MaxWaiters + 2 {
+			if ask(i*3000+k, fmt.Sprint("task", i)) == ErrFull {
+				full[fmt.Sprint("task", i)]++
+			}
+		}
+	}
+	if len(sessions) != MaxSessions || table.places() != MaxPlaces || full["task0"] != 1 || full["task79"] != MaxWaiters+2 {
+		t.Errorf("%d sessions, %d places, %d and %d were turned down", len(sessions), table.places(), full["task0"], full["task79"])
+	}
+	if err := table.Check(); err != nil {
+		t.Error(err)
+	}
+	small := NewTable(Terms{Term: time.Second})
+	small.Apply(1, Command{Kind: Join, Box: "a", Nonce: 1, Try: 1})
+	turned := 0
+	for i := range MaxTasks + 1 {
+		if small.Apply(0, Command{Kind: Acquire, Session: 1, Seq: uint64(i + 1), Task: fmt.Sprint(i), Slots: 1}) == ErrFull {
+			turned++
+		}
+	}
+	if turned != 1 {
+		t.Errorf("%d tasks were turned down", turned)
+	}
+}
+
 func TestAThousandTasksAreRenewedByOneCommand(t *testing.T) {
 	terms := Terms{Term: 10 * time.Second}
 	table := NewTable(terms)
--- /dev/null
+++ b/internal/state/audit/audit_test.go
@@ -0,0 +1,290 @@
+package audit
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func wall() time.Duration { return 1_764_576_000 * time.Second }
+
+func open(t *testing.T, dir string, limits Limits) (*Log, string) {
+	t.Helper()
+	l, how, err := Open(dir, "n1", limits, wall)
+	if err != nil {
+		t.Fatal(err)
+	}
+	create := l.create
+	l.create = func(path string) (File, error) {
+		f, err := create(path)
+		return quick{f}, err
+	}
+	return l, how
+}
+
+// quick is a file that does not wait for the disk: the tests are about what is in it.
+type quick struct{ File }
+
+func (quick) Sync() error { return nil }
+
+// write appends so many effects and returns the marks, one for each tenth.
+func write(t *testing.T, l *Log, n int) (marks []Mark) {
+	t.Helper()
+	for i := range n {
+		if _, err := l.Write(Entry{Kind: Effect, Task: "export", Token: uint64(i), Index: uint64(i)}); err != nil {
+			t.Fatal(err)
+		}
+		if i%10 == 9 {
+			m, err := l.Sync()
+			if err != nil {
+				t.Fatal(err)
+			}
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
+func read(t *testing.T, dir string) *Book {
+	t.Helper()
+	b, err := Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+var small = Limits{Segment: 2000, Folder: 1 << 20}
+
+func TestWhatIsWrittenIsReadAndProven(t *testing.T) {
+	dir := t.TempDir()
+	l, how := open(t, dir, small)
+	marks := write(t, l, 100)
+	l.Close()
+	again, resumed := open(t, dir, small)
+	marks = append(marks, write(t, again, 50)...)
+	again.Close()
+	if how != "a new chain" || resumed != "the chain goes on" || l.Chain() != again.Chain() {
+		t.Errorf("%q, then %q", how, resumed)
+	}
+	b := read(t, dir)
+	proven, old := b.Against(marks)
+	if len(b.Entries) != 150 || len(b.Faults) != 0 || proven != 15 || old != 0 {
+		t.Errorf("%d entries, %v, %d proven, %d old", len(b.Entries), b.Faults, proven, old)
+	}
+	for i, e := range b.Entries {
+		if e.N != uint64(i+1) || e.Box != "n1" {
+			t.Fatalf("entry %d is %+v", i, e)
+		}
+	}
+}
+
+// TestACutAtAnyByteIsFound cuts the last segment: what was told to the ledger is missed, and a process that goes on behind the
+// cut begins at a whole entry.
+func TestACutAtAnyByteIsFound(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, DefaultLimits)
+	marks := write(t, l, 10)
+	l.Close()
+	names, _ := segments(dir)
+	path := filepath.Join(dir, names[0])
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range whole {
+		if err := replace(path, whole[:at]); err != nil {
+			t.Fatal(err)
+		}
+		b := read(t, dir)
+		if b.Against(marks); len(b.Faults) == 0 {
+			t.Fatalf("cut at %d of %d, and nothing is found", at, len(whole))
+		}
+		if at%199 != 0 {
+			continue
+		}
+		next, _ := open(t, dir, DefaultLimits)
+		if _, err := next.Write(Entry{Kind: Start}); err != nil {
+			t.Fatal(err)
+		}
+		next.Close()
+		b = read(t, dir)
+		after := len(b.Faults)
+		b.Against(marks)
+		if len(b.Faults) == after {
+			t.Fatalf("cut at %d and gone on with, and the ledger's mark is not missed", at)
+		}
+		for _, name := range must(segments(dir)) {
+			os.Remove(filepath.Join(dir, name))
+		}
+	}
+}
+
+// replace makes a file anew: to truncate one and write it makes the file system wait for the disk.
+func replace(path string, data []byte) error {
+	os.Remove(path)
+	return os.WriteFile(path, data, 0o600)
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func TestAFlippedByteIsFound(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, Limits{Segment: 700, Folder: 1 << 20})
+	write(t, l, 9)
+	l.Close()
+	for _, name := range must(segments(dir)) {
+		path := filepath.Join(dir, name)
+		whole := must(os.ReadFile(path))
+		for at := range whole {
+			whole[at] ^= 0x10
+			if err := replace(path, whole); err != nil {
+				t.Fatal(err)
+			}
+			if b := read(t, dir); len(b.Faults) == 0 {
+				t.Fatalf("byte %d of %s flipped, and nothing is found", at, name)
+			}
+			whole[at] ^= 0x10
+		}
+		replace(path, whole)
+	}
+	if b := read(t, dir); len(b.Faults) != 0 {
+		t.Errorf("whole again: %v", b.Faults)
+	}
+}
+
+func TestWhatATamperedFolderShows(t *testing.T) {
+	for name, c := range map[string]struct {
+		tamper func(dir, old string)
+		says   string
+	}{
+		"a segment removed from the middle": {func(dir, _ string) { os.Remove(filepath.Join(dir, must(segments(dir))[2])) }, "1 segments are missing"},
+		"the last segment removed":          {func(dir, _ string) { s := must(segments(dir)); os.Remove(filepath.Join(dir, s[len(s)-1])) }, "the end is missing"},
+		"all removed":                       {func(dir, _ string) { os.RemoveAll(dir); os.Mkdir(dir, 0o700) }, "the chain is missing"},
+		"put back from last week": {func(dir, old string) {
+			os.RemoveAll(dir)
+			os.Rename(old, dir)
+		}, "the end is missing"},
+		"put back and gone on with": {func(dir, old string) {
+			os.RemoveAll(dir)
+			os.Rename(old, dir)
+			l, _ := open(t, dir, small)
+			for range 200 {
+				l.Write(Entry{Kind: Effect, Task: "other"})
+			}
+			l.Close()
+		}, "rewritten"},
+		"rewritten with the box's own program": {func(dir, _ string) {
+			b, _ := Read(dir)
+			os.RemoveAll(dir)
+			l, _ := open(t, dir, small)
+			l.chain = b.Entries[0].Chain
+			l.sum = first(l.chain, "n1")
+			for i, e := range b.Entries {
+				if i == 50 {
+					e.Token = 99
+				}
+				l.Write(e)
+			}
+			l.Close()
+		}, "rewritten"},
+	} {
+		dir, old := filepath.Join(t.TempDir(), "a"), filepath.Join(t.TempDir(), "old")
+		l, _ := open(t, dir, small)
+		marks := write(t, l, 60)
+		os.MkdirAll(old, 0o700)
+		for _, s := range must(segments(dir)) {
+			os.WriteFile(filepath.Join(old, s), must(os.ReadFile(filepath.Join(dir, s))), 0o600)
+		}
+		marks = append(marks, write(t, l, 60)...)
+		l.Close()
+		c.tamper(dir, old)
+		b := read(t, dir)
+		b.Against(marks)
+		if text := fmt.Sprint(b.Faults); !strings.Contains(text, c.says) {
+			t.Errorf("%s: %s", name, text)
+		}
+	}
+}
+
+func TestTheFolderIsBoundedAndWhatIsLeftIsProven(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, Limits{Segment: 2000, Folder: 9000})
+	marks := write(t, l, 500)
+	l.Close()
+	size := int64(0)
+	for _, s := range must(segments(dir)) {
+		size += must(os.Stat(filepath.Join(dir, s))).Size()
+	}
+	b := read(t, dir)
+	proven, old := b.Against(marks)
+	if size > 9000+200 || len(b.Faults) > 0 || proven == 0 || old == 0 || proven+old != len(marks) {
+		t.Errorf("%d bytes, %v, %d proven and %d old of %d", size, b.Faults, proven, old, len(marks))
+	}
+}
+
+// full is a file whose disk is full after so many bytes.
+type full struct {
+	File
+	room *int
+}
+
+func (f full) Write(p []byte) (int, error) {
+	if n := *f.room; n < len(p) {
+		*f.room = 0
+		k, _ := f.File.Write(p[:n])
+		return k, syscall.ENOSPC
+	}
+	*f.room -= len(p)
+	return f.File.Write(p)
+}
+
+func TestADiskThatRefusesStandsAsAGap(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, small)
+	create, room := l.create, 1<<20
+	l.create = func(path string) (File, error) {
+		f, err := create(path)
+		return full{f, &room}, err
+	}
+	write(t, l, 10)
+	for _, left := range []int{0, 1, 30, 60, 100, 150} { // in the middle of whatever comes next
+		room = left
+		lost := 0
+		for range 5 {
+			if _, err := l.Write(Entry{Kind: Effect}); errors.Is(err, syscall.ENOSPC) {
+				lost++
+			}
+			room = min(room, left)
+		}
+		if lost == 0 {
+			t.Fatalf("room for %d bytes, and nothing is lost", left)
+		}
+		room = 1 << 20
+		if n, err := l.Write(Entry{Kind: Drain}); err != nil || n == 0 {
+			t.Fatal(err)
+		}
+		b := read(t, dir)
+		if len(b.Faults) > 0 || b.Lost == 0 {
+			t.Fatalf("room for %d bytes: %v, %d lost", left, b.Faults, b.Lost)
+		}
+	}
+	m, err := l.Sync()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := read(t, dir)
+	if proven, _ := b.Against([]Mark{m}); proven != 1 || len(b.Faults) > 0 {
+		t.Errorf("%d proven, %v", proven, b.Faults)
+	}
+}
--- /dev/null
+++ b/internal/state/audit/verify.go
@@ -0,0 +1,164 @@
+package audit
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// Fault is something that is wrong with a log, with its place.
+type Fault struct {
+	Box     string `json:"box"`
+	Chain   string `json:"chain"`
+	Segment string `json:"segment,omitempty"`
+	N       uint64 `json:"n"` // of the last entry that stands before it
+	What    string `json:"what"`
+}
+
+func (f Fault) String() string {
+	at := f.Segment
+	if at == "" {
+		at = f.Chain
+	}
+	return fmt.Sprintf("%s: after entry %d of %s: %s", f.Box, f.N, at, f.What)
+}
+
+// Book is what a folder holds.
+type Book struct {
+	Box     string
+	Entries []Entry // without heads of segments, in the order of chains and numbers
+	Faults  []Fault
+	Lost    uint64 // entries that the box itself says it has lost
+	marks   map[string][]point
+}
+
+type point struct {
+	n   uint64
+	sum Sum
+}
+
+// Read reads a folder and checks each chain by itself. What it cannot read it names and goes on behind it.
+func Read(dir string) (*Book, error) {
+	names, err := segments(dir)
+	if err != nil {
+		return nil, err
+	}
+	b := &Book{marks: map[string][]point{}}
+	type end struct {
+		sum     Sum
+		n       uint64
+		segment uint32
+	}
+	ends := map[string]end{}
+	for _, name := range names {
+		raw, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return nil, fmt.Errorf("audit: %w", err)
+		}
+		head, sum, at, err := readFrame(raw, nil)
+		if err != nil || head.Begin == nil {
+			b.fault(Fault{Chain: name[:max(0, len(name)-len(suffix)-9)], Segment: name, What: "the segment does not begin as one: " + text(err)})
+			continue
+		}
+		g := head.Begin
+		if b.Box == "" {
+			b.Box = g.Box
+		}
+		last, known := ends[g.Chain]
+		switch {
+		case g.Box != b.Box:
+			b.fault(Fault{Chain: g.Chain, Segment: name, What: "the segment is of box " + g.Box})
+		case known && g.Segment != last.segment+1:
+			b.fault(Fault{Chain: g.Chain, Segment: name, N: last.n, What: fmt.Sprintf("%d segments are missing", int64(g.Segment)-int64(last.segment)-1)})
+		case known && Sum(g.Before) != last.sum:
+			b.fault(Fault{Chain: g.Chain, Segment: name, N: last.n, What: "the segment does not go on where the one before ends"})
+		case !known && g.Segment == 1 && Sum(g.Before) != first(g.Chain, g.Box):
+			b.fault(Fault{Chain: g.Chain, Segment: name, What: "the chain does not begin as one"})
+		}
+		n := head.N
+		if !known {
+			b.marks[g.Chain] = append(b.marks[g.Chain], point{n, Sum(g.Before)})
+		}
+		for at < len(raw) {
+			e, after, size, err := readFrame(raw[at:], &sum)
+			if err != nil {
+				f := Fault{Chain: g.Chain, Segment: name, N: n, What: err.Error()}
+				if err == errShort && at+len(raw[at:]) == len(raw) {
+					f.What = "the segment ends within an entry"
+				}
+				b.fault(f)
+				if size == 0 { // go on from the next frame that stands
+					size = resync(raw[at:])
+				}
+				at += size
+				sum = after
+				if e != nil {
+					n = e.N
+				}
+				continue
+			}
+			if e.N != n+1 {
+				b.fault(Fault{Chain: g.Chain, Segment: name, N: n, What: fmt.Sprintf("entry %d comes next", e.N)})
+			}
+			n, sum, at = e.N, after, at+size
+			e.Box, e.Chain = g.Box, g.Chain
+			if e.Kind == Gap {
+				b.Lost += e.Count
+			}
+			b.Entries = append(b.Entries, *e)
+			b.marks[g.Chain] = append(b.marks[g.Chain], point{n, sum})
+		}
+		ends[g.Chain] = end{sum, n, g.Segment}
+	}
+	return b, nil
+}
+
+func text(err error) string {
+	if err == nil {
+		return "it has no head"
+	}
+	return err.Error()
+}
+
+func (b *Book) fault(f Fault) {
+	f.Box = b.Box
+	if len(b.Faults) < 1000 {
+		b.Faults = append(b.Faults, f)
+	}
+}
+
+// Against checks a book against marks that the ledger has. It finds what the chains alone cannot: an end that was cut off, a
+// chain that was rewritten from some entry on, a folder that was put back. Marks of what was removed by the bound prove nothing
+// and are counted as old.
+func (b *Book) Against(marks []Mark) (proven, old int) {
+	for _, m := range marks {
+		points := b.marks[m.Chain]
+		if len(points) == 0 {
+			b.fault(Fault{Chain: m.Chain, N: m.N, What: fmt.Sprintf("the chain is missing; the ledger knows %d entries of it", m.N)})
+			continue
+		}
+		i, found := slices.BinarySearchFunc(points, m.N, func(p point, n uint64) int {
+			switch {
+			case p.n < n:
+				return -1
+			case p.n > n:
+				return 1
+			}
+			return 0
+		})
+		switch {
+		case found && points[i].sum == m.Sum:
+			proven++
+		case found:
+			b.fault(Fault{Chain: m.Chain, N: m.N, What: "it is not what the ledger knows: rewritten at this entry or before"})
+		case i == 0:
+			old++
+		case i == len(points):
+			b.fault(Fault{Chain: m.Chain, N: points[i-1].n, What: fmt.Sprintf("the end is missing: the ledger knows %d entries", m.N)})
+		default:
+			b.fault(Fault{Chain: m.Chain, N: points[i-1].n, What: fmt.Sprintf("entry %d, which the ledger knows, is missing", m.N)})
+		}
+	}
+	return proven, old
+}
