Write what a box does for its fleet into its audit, and check it against the ledger's marks

The chained log had no user. A box in a fleet writes how it was started, the version that it acts as (program, settings, configuration, messages), how it stands to the fleet, each effect before its permit is checked and again when it was made or refused, drains, and its end. The head of its chain, as far as it is on the disk, is told to the ledger every 5 s as a command of its session; the last 32 of each box are kept. cairnctl fleet audit verify|list DIR... reads folders and checks them against the marks. Off on the platform, and without a fleet block.

--- a/cmd/cairnctl/fleet.go
+++ b/cmd/cairnctl/fleet.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -13,7 +15,9 @@
 	"cairnlane/internal/clock"
 	"cairnlane/internal/control"
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/command"
+	"cairnlane/internal/state/audit"
 )
 
 type fleetOptions struct {
@@ -39,6 +43,12 @@
 	Stop struct {
 		Token uint64 `arg:"" help:"The lease's, as 'fleet leases' shows it."`
 	} `cmd:"" help:"Ask a holder to stop early."`
+	Audit struct {
+		What    string   `arg:"" enum:"verify,list" help:"verify: check the chains, and against the ledger's marks. list: the entries."`
+		Dirs    []string `arg:"" type:"existingdir" help:"Folders of audits: state/audit of a box, or copies."`
+		Task    string   `help:"list: effects of this task alone."`
+		Offline bool     `help:"verify: without the ledger's marks. What was cut off the end is then not found."`
+	} `cmd:"" help:"What boxes did, from their own logs."`
 	Run struct {
 		Task     string        `arg:"" help:"The task's name."`
 		Slots    int           `default:"1" help:"How many boxes may do it at a time; the same on all boxes."`
@@ -113,6 +123,8 @@
 		return c.Free(f.Free.Token)
 	case "stop":
 		return c.StopEarly(f.Stop.Token)
+	case "audit":
+		return o.audit(w, c)
 	case "run":
 		r := f.Run
 		argv := r.Command
@@ -183,3 +195,82 @@
 		}
 	}
 }
+
+// audit reads the audits of boxes; an error says that something is wrong with one.
+func (o *options) audit(w io.Writer, c control.FleetClient) error {
+	a := o.Fleet.Audit
+	var marks map[string][]lease.Mark
+	if a.What == "verify" && !a.Offline {
+		var err error
+		if marks, err = c.Marks(); err != nil {
+			return fmt.Errorf("%w; --offline checks the chains alone, and does not find what was cut off", err)
+		}
+	}
+	type verdict struct {
+		Folder  string        `json:"folder"`
+		Box     string        `json:"box"`
+		Entries int           `json:"entries"`
+		Lost    uint64        `json:"lost"`
+		Proven  int           `json:"marks_proven"`
+		Old     int           `json:"marks_of_what_is_gone"`
+		Faults  []audit.Fault `json:"faults,omitempty"`
+	}
+	var verdicts []verdict
+	var entries []audit.Entry
+	faults := 0
+	for _, dir := range a.Dirs {
+		b, err := audit.Read(dir)
+		if err != nil {
+			return err
+		}
+		v := verdict{Folder: dir, Box: b.Box, Entries: len(b.Entries), Lost: b.Lost}
+		var list []audit.Mark
+		for _, m := range marks[b.Box] {
+			mark, err := fleet.Mark(m)
+			if err != nil {
+				return fmt.Errorf("a mark of %s: %w", b.Box, err)
+			}
+			list = append(list, mark)
+		}
+		v.Proven, v.Old = b.Against(list)
+		v.Faults = b.Faults
+		faults += len(b.Faults)
+		verdicts = append(verdicts, v)
+		for _, e := range b.Entries {
+			if a.Task == "" || e.Task == a.Task {
+				entries = append(entries, e)
+			}
+		}
+	}
+	if a.What == "list" {
+		// By the ledger's index, as far as each box knew it; within a box by number. Entries of two boxes at one index have no order.
+		slices.SortStableFunc(entries, func(x, y audit.Entry) int { return cmp.Compare(x.Index, y.Index) })
+		return o.show(w, entries, nil, func(t io.Writer) {
+			fmt.Fprintln(t, "INDEX\tBOX\tN\tKIND\tTASK\tTOKEN\tOK\tCLOCK\tTEXT")
+			for _, e := range entries {
+				text := e.Text
+				if e.Build != nil {
+					text = fmt.Sprintf("program %s, settings %s, configuration %s, messages %d", e.Build.Program, e.Build.Settings, e.Build.Config, e.Build.Messages)
+				}
+				fmt.Fprintf(t, "%d\t%s\t%d\t%s\t%s\t%d\t%v\t%s\t%q\n", e.Index, e.Box, e.N, e.Kind, e.Task, e.Token, e.OK, time.Unix(0, int64(e.At)).Format(time.RFC3339), text)
+			}
+		})
+	}
+	if err := o.show(w, verdicts, nil, func(t io.Writer) {
+		fmt.Fprintln(t, "FOLDER\tBOX\tENTRIES\tLOST\tMARKS PROVEN\tOF WHAT IS GONE\tFAULTS")
+		for _, v := range verdicts {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", v.Folder, v.Box, v.Entries, v.Lost, v.Proven, v.Old, len(v.Faults))
+		}
+		for _, v := range verdicts {
+			for _, f := range v.Faults {
+				fmt.Fprintln(t, f)
+			}
+		}
+	}); err != nil {
+		return err
+	}
+	if faults > 0 {
+		return fmt.Errorf("%d places are not as they were written", faults)
+	}
+	return nil
+}
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"cairnlane/internal/clock"
@@ -22,15 +24,17 @@
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/front"
 	"cairnlane/internal/operator"
+	"cairnlane/internal/state/audit"
 )
 
 // Fleet is the box's part in its fleet. It implements daemon.Part and control.Fleet. Serving waits for none of it.
 type Fleet struct {
 	*fleet.Fleet
-	cfg  *config.Appliance
-	log  zerolog.Logger
-	desk *fleet.Desk
-	stop context.CancelFunc
+	cfg   *config.Appliance
+	log   zerolog.Logger
+	desk  *fleet.Desk
+	stop  context.CancelFunc
+	audit *audit.Log
 
 	mu      sync.Mutex
 	replica *daemon.Replica // once it serves
@@ -74,7 +78,14 @@
 // Start implements daemon.Part.
 func (f *Fleet) Start(ctx context.Context, _ *front.Server, set *counters.Set) (err error) {
 	c := f.cfg.Fleet
-	f.Fleet, err = fleet.Open(fleet.Config{Name: f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
+	dir := filepath.Join(f.cfg.State, "audit")
+	var how string
+	if f.audit, how, err = audit.Open(dir, f.cfg.Site.Name, audit.DefaultLimits, func() time.Duration { return time.Duration(time.Now().UnixNano()) }); err != nil {
+		return err
+	}
+	f.audit.Write(audit.Entry{Kind: audit.Start, Text: how})
+	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(),
+		Name: f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
 	if err != nil {
 		return err
@@ -100,6 +111,20 @@
 	f.stop()
 	f.desk.Close()
 	f.Fleet.Close()
+	f.audit.Close()
+}
+
+// acts is the version that this box acts as: the program, its settings and limits, its own configuration, and what it
+// understands of the fleet's messages.
+func (f *Fleet) acts() audit.Build {
+	digest := func(path string) string {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return "unreadable"
+		}
+		return fmt.Sprintf("%016x", xxhash.Sum64(raw))
+	}
+	return audit.Build{Program: Build(), Settings: digest(f.cfg.Replica), Config: digest(f.cfg.Path), Messages: ledger.Version}
 }
 
 // serving tells whether the replica takes clients and is to.
@@ -182,6 +207,7 @@
 		f.desk.End(id)
 		return err
 	}
+	f.Note(audit.Drain, true, fmt.Sprintf("%s under token %d", what, s.Token))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entered = id
@@ -234,6 +260,7 @@
 // Drain implements operator.Replica.
 func (k keeper) Drain(on bool) error {
 	err := k.Replica.Drain(on)
+	k.fleet.Note(audit.Drain, on, fmt.Sprint("by an operator: ", err == nil))
 	if err == nil && !on {
 		k.fleet.back()
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -19,6 +19,7 @@
 	Status() fleet.Status
 	Members() []fleet.Member
 	Leases() []fleet.LeaseStatus
+	Marks() map[string][]lease.Mark // of the boxes' audits
 	Init(terms lease.Terms, voters []string) error
 	Recover() error
 	ChangeVoters(how string, names []string) error // add, remove or replace; replace takes the old and the new name
@@ -62,6 +63,7 @@
 	handle("GET /fleet/status", func(f Fleet, _ *http.Request) (any, error) { return f.Status(), nil })
 	handle("GET /fleet/members", func(f Fleet, _ *http.Request) (any, error) { return f.Members(), nil })
 	handle("GET /fleet/leases", func(f Fleet, _ *http.Request) (any, error) { return f.Leases(), nil })
+	handle("GET /fleet/marks", func(f Fleet, _ *http.Request) (any, error) { return f.Marks(), nil })
 	act("POST /fleet/init", func(f Fleet, r *http.Request) error {
 		term, terr := time.ParseDuration(r.FormValue("term"))
 		drift, derr := strconv.ParseFloat(r.FormValue("drift"), 64)
@@ -124,6 +126,11 @@
 	return l, c.call("GET", "/fleet/leases", nil, &l)
 }
 
+// Marks are the heads of the boxes' audits that the ledger has.
+func (c FleetClient) Marks() (m map[string][]lease.Mark, err error) {
+	return m, c.call("GET", "/fleet/marks", nil, &m)
+}
+
 // Init begins a fleet with this box.
 func (c FleetClient) Init(terms lease.Terms, voters []string) error {
 	return c.post("/fleet/init", url.Values{"term": {terms.Term.String()}, "drift": {strconv.FormatFloat(terms.Drift, 'g', -1, 64)}, "voters": {strings.Join(voters, ",")}})
--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -450,6 +450,14 @@
 	}
 }
 
+// Report tells the head of the box's audit chain. It tells whether there is a session to tell it in.
+func (h *Holder) Report(now time.Duration, m Mark) bool {
+	if h.phase == In {
+		h.make(now, Command{Kind: Report, Chain: m.Chain, N: m.N, Sum: m.Sum})
+	}
+	return h.phase == In
+}
+
 // Stop asks the holder of a token to stop early.
 func (h *Holder) Stop(now time.Duration, token uint64) {
 	if h.phase == In {
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -72,9 +72,10 @@
 	Release                 // gives back or withdraws what Ask asked for
 	Stop                    // asks the holder of Token to stop early
 	Part                    // ends the session; the box acts no more
+	Report                  // tells the head of the box's audit chain: Chain, N and Sum
 )
 
-var kinds = [...]string{"", "join", "expire", "free", "open", "renew", "acquire", "release", "stop", "part"}
+var kinds = [...]string{"", "join", "expire", "free", "open", "renew", "acquire", "release", "stop", "part", "report"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -98,8 +99,21 @@
 	Priority int    `cbor:"10,keyasint,omitempty"`
 	Sticky   bool   `cbor:"11,keyasint,omitempty"` // the slot outlives the session: see Lease
 	Token    uint64 `cbor:"12,keyasint,omitempty"`
+	Chain    string `cbor:"14,keyasint,omitempty"`
+	N        uint64 `cbor:"15,keyasint,omitempty"`
+	Sum      string `cbor:"16,keyasint,omitempty"` // in hexadecimal
 }
 
+// Mark is the head of a box's audit chain, as the box has told it.
+type Mark struct {
+	Chain string `cbor:"1,keyasint" json:"chain"`
+	N     uint64 `cbor:"2,keyasint" json:"n"`
+	Sum   string `cbor:"3,keyasint" json:"sum"`
+}
+
+// marksKept is how many marks are kept for each box; the oldest go first.
+const marksKept = 32
+
 // Session is a box's time in the fleet, from one join to its end.
 type Session struct {
 	ID    uint64 `cbor:"1,keyasint"` // the ledger's index of the join: the box's incarnation, which only grows
@@ -171,12 +185,13 @@
 	Names    map[string]uint64   `cbor:"5,keyasint"` // the newest session of each box that has one
 	Tasks    map[string]*Task    `cbor:"6,keyasint"` // those that somebody holds or waits for
 	Left     map[string]Ended    `cbor:"8,keyasint"` // the last session of boxes that have none now
+	Marks    map[string][]Mark   `cbor:"9,keyasint"` // of each box, oldest first
 	Closed   uint64              `cbor:"7,keyasint"` // not 0: nothing is granted until a judge opens; see Close
 }
 
 // NewTable returns an empty one.
 func NewTable(t Terms) *Table {
-	return &Table{Terms: t, Sessions: map[uint64]*Session{}, Names: map[string]uint64{}, Tasks: map[string]*Task{}, Left: map[string]Ended{}}
+	return &Table{Terms: t, Sessions: map[uint64]*Session{}, Names: map[string]uint64{}, Tasks: map[string]*Task{}, Left: map[string]Ended{}, Marks: map[string][]Mark{}}
 }
 
 // Why a command was turned down. The command has then changed nothing, but renewed its session if it has one.
@@ -241,10 +256,25 @@
 	case Part:
 		t.end(s, true)
 		return nil
+	case Report:
+		return t.report(s.Box, Mark{c.Chain, c.N, c.Sum})
 	}
 	return ErrBad
 }
 
+// report keeps a mark. A mark never goes back within a chain.
+func (t *Table) report(box string, m Mark) error {
+	list := t.Marks[box]
+	switch {
+	case m.Chain == "" || len(m.Chain) > MaxName || len(m.Sum) > MaxName || len(list) == 0 && len(t.Marks) >= MaxSessions:
+		return ErrBad
+	case len(list) > 0 && list[len(list)-1].Chain == m.Chain && list[len(list)-1].N >= m.N:
+		return ErrOrder
+	}
+	t.Marks[box] = append(slices.Clone(list[max(0, len(list)+1-marksKept):]), m)
+	return nil
+}
+
 // join begins a session. One that a process of the same name has is not ended: that process may still act, until the
 // judges have waited for it as for any other. It may only renew no more.
 func (t *Table) join(index uint64, c Command) error {
@@ -440,6 +470,7 @@
 func (t *Table) Clone() *Table {
 	c := *t
 	c.Left = maps.Clone(t.Left)
+	c.Marks = maps.Clone(t.Marks) // a box's list is made anew when it changes
 	c.Sessions, c.Names, c.Tasks = make(map[uint64]*Session, len(t.Sessions)), maps.Clone(t.Names), make(map[string]*Task, len(t.Tasks))
 	for id, s := range t.Sessions {
 		n := *s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/fleet/peer"
+	"cairnlane/internal/state/audit"
 )
 
 // Config is a box's place in its fleet.
@@ -27,6 +28,8 @@
 	Timing  ledger.Timing
 	Now     func() time.Duration // a clock that also runs while the machine sleeps: clock.Boot
 	Told    func(format string, args ...any)
+	Audit   *audit.Log  // what the box did that matters to others; may be nil
+	Acts    audit.Build // the version that the box acts as
 }
 
 // The kinds of messages on the links, in the order in which they go.
@@ -62,6 +65,8 @@
 	kick    chan struct{} // tells it
 	changed chan struct{} // closed at each change, and made anew
 	closed  bool
+	phase   lease.Phase // as it stands in the audit
+	session uint64
 }
 
 type received struct {
@@ -102,7 +107,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
+	f.note(audit.Entry{Kind: audit.Version, Build: &cfg.Acts})
 	go f.run(ctx)
+	go f.tellMarks(ctx)
 	return f, nil
 }
 
@@ -160,6 +167,7 @@
 		return
 	}
 	do(f.cfg.Now())
+	f.standing()
 	for _, e := range f.node.Take() {
 		raw, err := cbor.Marshal(e.Message)
 		if err != nil {
@@ -206,6 +214,7 @@
 	f.mu.Unlock()
 	f.links.Close()
 	f.store.Close()
+	f.note(audit.Entry{Kind: audit.End})
 }
 
 // partTime is how long the end of a process waits for its fleet to know.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -123,6 +123,9 @@
 	if s.Table.Names == nil {
 		s.Table.Names = map[string]uint64{}
 	}
+	if s.Table.Marks == nil {
+		s.Table.Marks = map[string][]lease.Mark{}
+	}
 	if s.Table.Left == nil {
 		s.Table.Left = map[string]lease.Ended{}
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -248,6 +248,13 @@
 	n.turn(now)
 }
 
+// Report tells the head of the box's audit chain to the fleet, if there is a session to tell it in.
+func (n *Node) Report(now time.Duration, m lease.Mark) bool {
+	told := n.holder.Report(now, m)
+	n.turn(now)
+	return told
+}
+
 // Part has the box leave its fleet in order. It acts no more.
 func (n *Node) Part(now time.Duration) {
 	n.holder.Part(now)
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/state/audit"
 )
 
 // Task is a slot of a task that this box holds, or has held.
@@ -101,18 +102,27 @@
 // the longest that it can take, ends before the lease can be another's. An effect that takes longer is counted
 // (fleet_effects_over_time) and breaks what is promised.
 func (t *Task) Act(need time.Duration, effect func(Permit) error) error {
+	// The audit has it before it is made, and before the permit is checked: nothing stands between check and effect.
+	ask, _ := t.look()
+	ref := t.f.note(audit.Entry{Kind: audit.Effect, Task: ask.Task, Token: ask.Token})
 	t.f.mu.Lock()
 	now := t.f.cfg.Now()
 	err := t.f.node.May(now, t.ask, need)
 	p := Permit{Token: t.ask.Token, Left: t.f.node.Holder().Until() - now}
 	t.f.mu.Unlock()
 	if err != nil {
+		t.f.note(audit.Entry{Kind: audit.Done, Task: ask.Task, Token: ask.Token, Ref: ref, Text: "not made: " + err.Error()})
 		return err
 	}
 	err = effect(p)
 	if t.f.cfg.Now()-now > need {
 		t.f.over.Inc()
 	}
+	done := audit.Entry{Kind: audit.Done, Task: ask.Task, Token: ask.Token, Ref: ref, OK: err == nil}
+	if err != nil {
+		done.Text = err.Error()
+	}
+	t.f.note(done)
 	return err
 }
 
