Have the audit say which command runs under which token

The desk holds slots for commands; its effects were missing in the audit. The entry stands before the command begins, as the desk is told first.

--- a/internal/fleet/desk.go
+++ b/internal/fleet/desk.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/state/audit"
 )
 
 // Desk holds slots for others on this machine: for a command that an operator runs, for the operator's drain. Whoever has a
@@ -164,6 +166,8 @@
 	if err != nil {
 		return err
 	}
+	ask, _ := r.task.look()
+	d.f.note(audit.Entry{Kind: audit.Effect, Task: ask.Task, Token: ask.Token, Text: fmt.Sprintf("a command runs as process group %d", pgid)})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.pgid, r.seen = pgid, d.f.cfg.Now()
