--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -416,7 +416,7 @@
 		}
 	}
 	play := func(cfg leases.Config) (*leases.Figures, error) {
-		dir, err := os.MkdirTemp("", "fl")
+		dir, err := rig.TempDir()
 		if err != nil {
 			return nil, err
 		}
@@ -463,7 +463,7 @@
 // takeover kills holders; an error says which bounds were missed.
 func (o *options) takeover(w io.Writer) error {
 	t := o.Trial.Takeover
-	dir, err := os.MkdirTemp("", "fl")
+	dir, err := rig.TempDir()
 	if err != nil {
 		return err
 	}
@@ -487,7 +487,7 @@
 // crowd measures many processes.
 func (o *options) crowd(w io.Writer) error {
 	t := o.Trial.Crowd
-	dir, err := os.MkdirTemp("", "fl")
+	dir, err := rig.TempDir()
 	if err != nil {
 		return err
 	}
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -92,6 +92,15 @@
 	<-p.ended
 }
 
+// TempDir makes a folder for a site: in memory where the system has such a place, so that a trial does not depend on how
+// busy the machine's disk is, and short, as the paths of sockets in it have a bound. The caller removes it.
+func TempDir() (string, error) {
+	if dir, err := os.MkdirTemp("/dev/shm", "fl"); err == nil {
+		return dir, nil
+	}
+	return os.MkdirTemp("", "fl")
+}
+
 // Ports that are taken for listeners lie below those that the system gives to connections that go out: one of these would
 // else take a port between the time at which it was found free and the time at which a process listens.
 const (
