Let trials of a fleet jump the time of day and change the fleet's key under way

Need: two faults that the leases are promised to stand were tested on the source and on links alone, not between processes: a wall clock that jumps, and a fleet key that is changed while boxes talk.

Change: clock.Wall is the one way to the time of day (log, audit, certificates, the base of the serving clock); a trial build adds what a file says, a release build has no such switch. The rig's faults 'wall' and 'key': a jump by up to six hours and back; both keys box after box, then the new one alone, with links cut after each box. The short form in make test has the key.

--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -237,11 +237,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "figures: mutants=%d caught=%d alive=%d\n", len(mutants.Leases), caught, len(alive))
-		if len(alive) > 0 {
-			return fmt.Errorf("missed: %s live", strings.Join(alive, ", "))
-		}
-		return nil
+		return ended(w, prefixed{fmt.Sprintf("mutants=%d caught=%d alive=%d", len(mutants.Leases), caught, len(alive))}, nil, alive)
 	case "trial act":
 		a := o.Trial.Act
 		return actor.Command(a.Resource, a.Thing, a.Box, a.For)
@@ -349,6 +345,23 @@
 	return nil
 }
 
+// ended prints the end of a trial: what was noted and, last, its line of figures. An error says which bounds were missed.
+func ended(w io.Writer, figures any, notes, missed []string) error {
+	for _, n := range notes {
+		fmt.Fprintln(w, n)
+	}
+	fmt.Fprintln(w, figures)
+	if len(missed) > 0 {
+		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
+	}
+	return nil
+}
+
+// prefixed prints figures that do not say so themselves.
+type prefixed struct{ figures any }
+
+func (p prefixed) String() string { return fmt.Sprintf("figures: %v", p.figures) }
+
 // year plays a year of certificates; an error says which bounds were missed.
 func (o *options) year(w io.Writer) error {
 	t := o.Trial.Certificates
@@ -367,11 +380,7 @@
 	}
 	f.Table(w)
 	fmt.Fprintln(w, "written:", csv, svg)
-	fmt.Fprintln(w, f)
-	if missed := f.Missed(); len(missed) > 0 {
-		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
-	}
-	return nil
+	return ended(w, f, nil, f.Missed())
 }
 
 // replace plays replacements; an error says which bounds were missed.
@@ -386,14 +395,7 @@
 	if err != nil {
 		return err
 	}
-	for _, n := range f.Notes {
-		fmt.Fprintln(w, n)
-	}
-	fmt.Fprintln(w, f)
-	if missed := f.Missed(); len(missed) > 0 {
-		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
-	}
-	return nil
+	return ended(w, f, f.Notes, f.Missed())
 }
 
 // leases plays faults on a fleet; an error says which bounds were missed.
@@ -448,11 +450,7 @@
 			fmt.Fprintf(w, "what is left of it and still fails:\n%s", short)
 		}
 	}
-	fmt.Fprintln(w, f)
-	if len(missed) > 0 {
-		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
-	}
-	return nil
+	return ended(w, f, nil, missed)
 }
 
 // serveBy starts a box with a program.
@@ -473,15 +471,11 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(w, f)
 	missed := f.Missed()
 	if f.VacancyMax > f.VacancyBound || f.Vacancies < t.Count {
 		missed = append(missed, fmt.Sprintf("%d takeovers, the longest after %v", f.Vacancies, f.VacancyMax))
 	}
-	if len(missed) > 0 {
-		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
-	}
-	return nil
+	return ended(w, f, nil, missed)
 }
 
 // crowd measures many processes.
@@ -496,11 +490,11 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(w, f)
+	var missed []string
 	if f.Lost > 0 {
-		return fmt.Errorf("missed: %d boxes lost their sessions although nothing failed", f.Lost)
+		missed = append(missed, fmt.Sprintf("%d boxes lost their sessions although nothing failed", f.Lost))
 	}
-	return nil
+	return ended(w, f, nil, missed)
 }
 
 // fleetsim plays fleets in virtual time; an error says which bounds were missed.
@@ -508,11 +502,11 @@
 	t := o.Trial.Fleetsim
 	if t.Members > 0 {
 		f := fleetsim.Scale(t.Members, t.Term, time.Minute)
-		fmt.Fprintln(w, "figures:", f)
+		var missed []string
 		if f.Lost > 0 || f.AllIn == 0 {
-			return fmt.Errorf("missed: %d sessions were lost, all were in after %v", f.Lost, f.AllIn)
+			missed = append(missed, fmt.Sprintf("%d sessions were lost, all were in after %v", f.Lost, f.AllIn))
 		}
-		return nil
+		return ended(w, prefixed{f}, nil, missed)
 	}
 	f := fleetsim.Many(t.Seed, t.Seeds, t.Workers, w)
 	if f.First != nil {
@@ -520,11 +514,7 @@
 			fmt.Fprintln(w, l)
 		}
 	}
-	fmt.Fprintln(w, f)
-	if missed := f.Missed(); len(missed) > 0 {
-		return fmt.Errorf("missed: %s", strings.Join(missed, ", "))
-	}
-	return nil
+	return ended(w, f, nil, f.Missed())
 }
 
 // completion prints a completion for bash from the commands that there are.
--- a/cmd/cairnsite/main.go
+++ b/cmd/cairnsite/main.go
@@ -9,8 +9,6 @@
 
 	"cairnlane/internal/appliance"
 	"cairnlane/internal/config"
-	"cairnlane/internal/daemon"
-	"cairnlane/internal/logging"
 )
 
 var cli struct {
@@ -28,7 +26,7 @@
 	var err error
 	switch ctx.Command() {
 	case "serve":
-		err = serve(cli.Serve.Config)
+		err = appliance.Serve(cli.Serve.Config, os.Stderr)
 	default:
 		if _, err = config.Load(cli.Check.File); err == nil {
 			fmt.Println(cli.Check.File, "is right")
@@ -39,19 +37,3 @@
 		os.Exit(1)
 	}
 }
-
-func serve(path string) error {
-	cfg, err := config.Load(path)
-	if err != nil {
-		return err
-	}
-	l := logging.Config{}
-	if cfg.Log != nil {
-		l = logging.Config{Level: cfg.Log.Level, Format: cfg.Log.Format}
-	}
-	box, err := appliance.New(cfg, logging.Start(os.Stderr, l))
-	if err != nil {
-		return err
-	}
-	return daemon.Run(cfg.Replica, cfg.Site, box.Started, box.Parts()...)
-}
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"cairnlane/internal/certs"
+	"cairnlane/internal/clock"
 	"cairnlane/internal/config"
 	"cairnlane/internal/control"
 	"cairnlane/internal/counters"
@@ -114,7 +115,7 @@
 		}
 		cfg.Authorities = append(cfg.Authorities, au)
 	}
-	return certs.New(cfg, b.store, answers, time.Now, b.log)
+	return certs.New(cfg, b.store, answers, clock.Wall, b.log)
 }
 
 func budget(t *config.TLS) renewal.Budget {
@@ -182,7 +183,7 @@
 		b.fleet.mu.Unlock()
 	}
 	var err error
-	if b.ctl, err = control.Listen(b.cfg.Control, &state{box: b, replica: r, since: time.Now()}); err != nil {
+	if b.ctl, err = control.Listen(b.cfg.Control, &state{box: b, replica: r, since: clock.Wall()}); err != nil {
 		b.log.Error().Err(err).Msg("no control socket; cairnctl cannot reach this daemon")
 		return
 	}
--- a/internal/appliance/appliance_test.go
+++ b/internal/appliance/appliance_test.go
@@ -15,10 +15,7 @@
 	"testing"
 	"time"
 
-	"cairnlane/internal/config"
 	"cairnlane/internal/control"
-	"cairnlane/internal/daemon"
-	"cairnlane/internal/logging"
 	"cairnlane/internal/standin/authority"
 	"cairnlane/internal/thrift"
 )
@@ -29,14 +26,7 @@
 	if path == "" {
 		os.Exit(m.Run())
 	}
-	cfg, err := config.Load(path)
-	if err == nil {
-		var box *Box
-		if box, err = New(cfg, logging.Start(os.Stderr, logging.Config{})); err == nil {
-			err = daemon.Run(cfg.Replica, cfg.Site, box.Started, box.Parts()...)
-		}
-	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(os.Stderr, Serve(path, os.Stderr))
 	os.Exit(1)
 }
 
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -80,7 +80,7 @@
 	c := f.cfg.Fleet
 	dir := filepath.Join(f.cfg.State, "audit")
 	var how string
-	if f.audit, how, err = audit.Open(dir, f.cfg.Site.Name, audit.DefaultLimits, func() time.Duration { return time.Duration(time.Now().UnixNano()) }); err != nil {
+	if f.audit, how, err = audit.Open(dir, f.cfg.Site.Name, audit.DefaultLimits, func() time.Duration { return time.Duration(clock.Wall().UnixNano()) }); err != nil {
 		return err
 	}
 	f.audit.Write(audit.Entry{Kind: audit.Start, Text: how})
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -5,14 +5,17 @@
 
 // System is the machine's clock. A reading is the time since the Unix epoch; later steps of the
 // wall clock do not show in it, so spans between readings are always true.
-type System struct{ base time.Time }
+type System struct {
+	base time.Time
+	unix time.Duration // the time of day at base, since the Unix epoch
+}
 
 // NewSystem anchors a clock to the present Unix time.
-func NewSystem() *System { return &System{base: time.Now()} }
+func NewSystem() *System { return &System{base: time.Now(), unix: time.Duration(Wall().UnixNano())} }
 
 // Now returns the time since the Unix epoch.
 func (s *System) Now() time.Duration {
-	return time.Duration(s.base.UnixNano()) + time.Since(s.base)
+	return s.unix + time.Since(s.base)
 }
 
 // AfterFunc calls f on a goroutine of its own after d.
--- a/internal/lab/leases/leases_test.go
+++ b/internal/lab/leases/leases_test.go
@@ -8,12 +8,10 @@
 	"time"
 
 	"cairnlane/internal/appliance"
-	"cairnlane/internal/config"
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/lab/actor"
 	"cairnlane/internal/lab/rig"
-	"cairnlane/internal/logging"
 	"cairnlane/internal/standin/resource"
 )
 
@@ -23,13 +21,9 @@
 	if path == "" {
 		os.Exit(m.Run())
 	}
-	cfg, err := config.Load(path)
-	if err == nil {
-		var box *appliance.Box
-		if box, err = appliance.New(cfg, logging.Start(os.Stderr, logging.Config{})); err == nil {
-			err = daemon.Run(cfg.Replica, cfg.Site, box.Started, append(box.Parts(), &actor.Part{Box: cfg.Site.Name, Fleet: box.Fleet().Running})...)
-		}
-	}
+	err := appliance.Serve(path, os.Stderr, func(b *appliance.Box) daemon.Part {
+		return &actor.Part{Box: b.Name(), Fleet: b.Fleet().Running}
+	})
 	os.Stderr.WriteString(err.Error())
 	os.Exit(1)
 }
@@ -53,6 +47,7 @@
 		1s kill 2 0 300ms
 		2s split 0 3 1500ms
 		4s stop-lead 0 1 2s
+		4500ms key 0 1 2s
 		5s twin 3 1 1500ms
 		7s empty 1 2 200ms
 		7500ms flap 3 1 1s`)
--- a/internal/lab/rig/fault.go
+++ b/internal/lab/rig/fault.go
@@ -33,12 +33,14 @@
 	Break    Kind = "break"     // the link between the two is cut in the middle of a frame
 	Refuse   Kind = "refuse"    // connections between the two are refused
 	Flap     Kind = "flap"      // Box is isolated again and again, at about the time of a renewal
+	Wall     Kind = "wall"      // its time of day jumps, by as many hours as Other is above Box, and back after For (a trial build)
+	Key      Kind = "key"       // the fleet's key is changed under way, box after box, with links cut in between
 	Cold     Kind = "cold"      // nearly all boxes are killed within a moment and started in empty folders, a majority of voters excepted
 	All      Kind = "all"       // all are killed at once and come back in any order
 )
 
 // Kinds lists all of them.
-var Kinds = []Kind{Kill, Empty, OldCopy, Stop, StopAct, Leader, StopLead, Full, Twin, OneWay, Deaf, Mute, Isolate, Split, Hold, Slow, Choke, Break, Refuse, Flap, Cold, All}
+var Kinds = []Kind{Kill, Empty, OldCopy, Stop, StopAct, Leader, StopLead, Full, Twin, OneWay, Deaf, Mute, Isolate, Split, Hold, Slow, Choke, Break, Refuse, Flap, Wall, Key, Cold, All}
 
 // Fault is one fault of a schedule. It is a value: it can be printed, read, played again and dropped.
 type Fault struct {
--- a/internal/lab/rig/play.go
+++ b/internal/lab/rig/play.go
@@ -148,7 +148,7 @@
 		}
 	}
 	switch kind { // faults of a process
-	case Kill, Empty, OldCopy, Stop, Leader, StopLead, Full, Twin:
+	case Kill, Empty, OldCopy, Stop, Leader, StopLead, Full, Twin, Wall:
 		if !b.take() {
 			return "", nil
 		}
@@ -282,12 +282,54 @@
 			all(true, true, heal)
 			time.Sleep(each)
 		}
+	case Wall: // nobody starts it anew in between: what it counts from then on would be off for good
+		if err := replaceFile(b.wall(), fmt.Sprint(time.Duration(o.Index-b.Index)*time.Hour)); err != nil {
+			return kind, err
+		}
+		time.Sleep(f.For)
+		return kind, os.Remove(b.wall())
+	case Key:
+		if !s.keying.TryLock() {
+			return "", nil
+		}
+		defer s.keying.Unlock()
+		return kind, s.changeKey(f.For)
 	case Cold, All:
 		return kind, s.together(kind, f)
 	}
 	return kind, nil
 }
 
+// changeKey changes the fleet's key as the operators' page has it: both keys on all boxes, then the new one alone. After each
+// box its links are cut, so that it dials and is dialed by boxes that stand at another step.
+func (s *Site) changeKey(span time.Duration) error {
+	old := s.key
+	s.key = newKey()
+	for _, keys := range []string{old + s.key, s.key} {
+		for _, b := range s.Boxes {
+			if err := replaceFile(b.keyFile(), keys); err != nil {
+				return err
+			}
+			for _, o := range s.Boxes {
+				if o != b {
+					s.Net.Set(b.Index, o.Index, func(f *Flow) { f.Break = true })
+					s.Net.Set(o.Index, b.Index, func(f *Flow) { f.Break = true })
+				}
+			}
+			time.Sleep(span / time.Duration(2*len(s.Boxes)))
+		}
+	}
+	return nil
+}
+
+// replaceFile puts a file with a text in the place of what was there, never half.
+func replaceFile(path, text string) error {
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // together kills many at once. In Cold all that may lose their disks do, a majority of voters is left alone.
 func (s *Site) together(kind Kind, f Fault) error {
 	var wait sync.WaitGroup
--- a/internal/lab/rig/site.go
+++ b/internal/lab/rig/site.go
@@ -50,6 +50,8 @@
 	Load    *Load
 	catalog *catalog.Catalog
 	began   time.Time
+	key     string     // a line of a key file
+	keying  sync.Mutex // one change of the key at a time
 
 	mu      sync.Mutex
 	history []Happening
@@ -92,16 +94,11 @@
 
 // NewSite prepares a site; Start starts its boxes.
 func NewSite(cfg SiteConfig) (*Site, error) {
-	s := &Site{cfg: cfg, Net: NewNet(), began: time.Now()}
-	key := make([]byte, 32)
-	rand.Read(key)
+	s := &Site{cfg: cfg, Net: NewNet(), began: time.Now(), key: newKey()}
 	var err error
 	if s.catalog, err = catalog.Start(); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(filepath.Join(cfg.Dir, "fleet.key"), []byte(base64.StdEncoding.EncodeToString(key)+"\n"), 0o600); err != nil {
-		return nil, err
-	}
 	addrs, err := FreeAddrs(2 * cfg.Boxes)
 	if err != nil {
 		return nil, err
@@ -159,7 +156,7 @@
 		return err
 	}
 	var hcl strings.Builder
-	fmt.Fprintf(&hcl, "replica = \"site.json\"\nstate = \"state\"\nfleet {\n listen = %q\n key_file = %q\n election_ms = %d\n", fleetAddr, filepath.Join(s.cfg.Dir, "fleet.key"), s.cfg.Election.Milliseconds())
+	fmt.Fprintf(&hcl, "replica = \"site.json\"\nstate = \"state\"\nfleet {\n listen = %q\n key_file = %q\n election_ms = %d\n", fleetAddr, b.keyFile(), s.cfg.Election.Milliseconds())
 	for _, o := range s.Boxes {
 		if s.cfg.Sparse && o != b && !s.isVoter(b) && !s.isVoter(o) {
 			continue
@@ -173,6 +170,11 @@
 		fmt.Fprintf(&hcl, " peer %q {\n  address = %q\n }\n", o.Name, at)
 	}
 	hcl.WriteString("}\n")
+	if _, err := os.Stat(b.keyFile()); err != nil { // a twin has that of its box
+		if err := replaceFile(b.keyFile(), s.key); err != nil {
+			return err
+		}
+	}
 	return errors.Join(os.WriteFile(filepath.Join(dir, "site.json"), raw, 0o600), os.WriteFile(filepath.Join(dir, "a.hcl"), []byte(hcl.String()), 0o600))
 }
 
@@ -328,6 +330,7 @@
 	if b.site.cfg.Env != nil {
 		cmd.Env = append(cmd.Env, b.site.cfg.Env(b.Index)...)
 	}
+	cmd.Env = append(cmd.Env, "CAIRNLANE_TRIAL_WALL="+b.wall())
 	if b.rate != 1 {
 		cmd.Env = append(cmd.Env, fmt.Sprintf("CAIRNLANE_TRIAL_CLOCK_RATE=%v", b.rate))
 	}
@@ -447,6 +450,17 @@
 	return nil
 }
 
+// newKey makes a line of a key file.
+func newKey() string {
+	key := make([]byte, 32)
+	rand.Read(key)
+	return base64.StdEncoding.EncodeToString(key) + "\n"
+}
+
+// keyFile and wall are the box's key of the fleet and, while it lasts, the jump of its time of day.
+func (b *Box) keyFile() string { return filepath.Join(b.dir, "fleet.key") }
+func (b *Box) wall() string    { return filepath.Join(b.dir, "wall") }
+
 // state is the folder with what outlives a restart.
 func (b *Box) state() string { return filepath.Join(b.dir, "state") }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"cairnlane/internal/clock"
 )
 
 // Config is how the log is written.
@@ -21,7 +23,7 @@
 // Start sets the program's log up and returns it. Levels and formats that are not known are the defaults; the
 // configuration turns them down before.
 func Start(w io.Writer, c Config) zerolog.Logger {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	zerolog.TimeFieldFormat, zerolog.TimestampFunc = time.RFC3339Nano, clock.Wall
 	if c.Format == "text" || c.Format == "" && terminal(w) {
 		w = zerolog.ConsoleWriter{Out: w, TimeFormat: "15:04:05.000000"}
 	}
