--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -27,6 +27,7 @@
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/handover/replace"
 	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/audits"
 	"cairnlane/internal/lab/fleetsim"
 	"cairnlane/internal/lab/leases"
 	"cairnlane/internal/lab/members"
@@ -93,6 +94,14 @@
 			Site     string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Program  string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
 		} `cmd:"" help:"Have real processes act under leases on loopback, with faults in and between them."`
+		Audit struct {
+			Seed    uint64        `default:"1" help:"Draws faults and load."`
+			Faults  int           `default:"60" help:"How many faults are drawn."`
+			Span    time.Duration `default:"110s" help:"Over which they come."`
+			Site    string        `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
+			Program string        `default:"bin/trial/cairnlane" help:"A trial build of the program."`
+			Later   string        `default:"bin/trial/later/cairnlane" help:"One of a later number."`
+		} `cmd:"" help:"Roll configurations out over real processes with faults in and between them, and compare what the audits say with what was seen."`
 		Takeover struct {
 			Seed    uint64        `default:"1" help:"Draws load and what the boxes do."`
 			Count   int           `default:"200" help:"How many holders are killed."`
@@ -216,6 +225,8 @@
 		return o.replace(w)
 	case "trial leases":
 		return o.leases(w)
+	case "trial audit":
+		return o.auditTrial(w)
 	case "trial takeover":
 		return o.takeover(w)
 	case "trial crowd":
@@ -458,6 +469,33 @@
 	return func(path string) *exec.Cmd { return exec.Command(program, "serve", "--config", path) }
 }
 
+// auditTrial rolls configurations out; an error says which bounds were missed.
+func (o *options) auditTrial(w io.Writer) error {
+	t := o.Trial.Audit
+	dir, err := rig.TempDir()
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	const boxes, old = 9, 3
+	f, err := audits.Run(audits.Config{Seed: t.Seed, Boxes: boxes, Old: old, Faults: t.Faults, Span: t.Span, Kinds: audits.Kinds, Scripts: audits.Scripts, Example: t.Site, Dir: dir, Progress: w,
+		Terms: lease.Terms{Term: 2 * time.Second, Drift: 0.02}, Election: 400 * time.Millisecond,
+		Serve: func(box int, config string) *exec.Cmd {
+			if box < boxes-old {
+				return serveBy(t.Later)(config)
+			}
+			return serveBy(t.Program)(config)
+		}})
+	if err != nil {
+		return err
+	}
+	missed := f.MissedInFull()
+	if len(missed) > 0 {
+		fmt.Fprintf(w, "the schedule:\n%s", f.Schedule)
+	}
+	return ended(w, f, f.Notes, missed)
+}
+
 // takeover kills holders; an error says which bounds were missed.
 func (o *options) takeover(w io.Writer) error {
 	t := o.Trial.Takeover
--- /dev/null
+++ b/deploy/fleet-config.hcl
@@ -0,0 +1,16 @@
+# A configuration of a whole fleet, as `cairnctl fleet config put deploy/fleet-config.hcl` takes it. docs/rollout.md is the operators' page.
+
+needs = 1 # the least number of a build that understands it; older builds turn it down
+
+# For commands that run under a lease (`cairnctl fleet run`), as CAIRNLANE_VALUE_NAME in their environment.
+values = {
+  EXPORT_DIR = "/srv/export"
+  BATCH      = "200"
+}
+
+# Boxes that are below the lowest allowed number.
+stragglers {
+  grace         = "30s" # before they are shut out; twice the leases' term at the least
+  floor         = 0.5   # the share of all known boxes, the dead included, that must be left
+  leave_service = false # whether a box that is shut out takes itself out of service
+}
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,11 +21,14 @@
 	"cairnlane/internal/counters"
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/faultfs"
 	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/front"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/state/audit"
+	"cairnlane/internal/state/configs"
 )
 
 // Fleet is the box's part in its fleet. It implements daemon.Part and control.Fleet. Serving waits for none of it.
@@ -39,6 +43,7 @@
 	mu      sync.Mutex
 	replica *daemon.Replica // once it serves
 	entered uint64          // the slot at the desk under which the box is out of service
+	gone    bool            // out of service, as it is shut out of the fleet
 }
 
 // MaintenanceTask is the task whose slots are boxes out of service.
@@ -65,6 +70,37 @@
 	return name
 }
 
+// number is that of the build, which says what it understands: it is raised when the fleet's configuration gains something. A
+// build may be made with another one: -ldflags "-X cairnlane/internal/appliance.number=2".
+var number = "1"
+
+// Number is the number of this build.
+func Number() uint64 {
+	n, err := strconv.ParseUint(number, 10, 32)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+// checkNumbered reads a configuration of the fleet; n is 0 before it has a number.
+func (f *Fleet) checkNumbered(n uint64, body []byte) (uint64, rollout.Rules, error) {
+	name := "the configuration"
+	if n > 0 {
+		name = fmt.Sprintf("configuration %d", n)
+	}
+	c, err := config.ParseNumbered(name, body)
+	if err != nil {
+		return 0, rollout.Rules{}, err
+	}
+	if n > 0 {
+		if err := trialRefuses(f.cfg.Site.Name, c.Values); err != nil {
+			return 0, rollout.Rules{}, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return c.Needs, c.Rules(), nil
+}
+
 // timing is how fast the box talks, from the time without a leader after which another one is elected.
 func timing(c *config.Fleet) ledger.Timing {
 	t := ledger.DefaultTiming
@@ -84,8 +120,17 @@
 		return err
 	}
 	f.audit.Write(audit.Entry{Kind: audit.Start, Text: how})
-	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(),
-		Name: f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
+	store, wrong, err := configs.Open(faultfs.Disk{}, filepath.Join(f.cfg.State, "fleet-config"))
+	if err != nil {
+		return err
+	}
+	if wrong != "" {
+		f.log.Error().Str("wrong", wrong).Msg("configurations of the fleet are damaged; they are fetched anew")
+	}
+	served, refused, failed := set.Get("answers_served"), set.Get("answers_refused"), set.Get("answers_failed")
+	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(), Number: Number(), Configs: store, Check: f.checkNumbered,
+		Served: func() (good, bad uint64) { return uint64(served.Load()), uint64(refused.Load() + failed.Load()) },
+		Name:   f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
 	if err != nil {
 		return err
@@ -124,7 +169,7 @@
 		}
 		return fmt.Sprintf("%016x", xxhash.Sum64(raw))
 	}
-	return audit.Build{Program: Build(), Settings: digest(f.cfg.Replica), Config: digest(f.cfg.Path), Messages: ledger.Version}
+	return audit.Build{Number: Number(), Program: Build(), Settings: digest(f.cfg.Replica), Config: digest(f.cfg.Path), Messages: ledger.Version}
 }
 
 // serving tells whether the replica takes clients and is to.
@@ -144,6 +189,7 @@
 			return
 		case <-tick.C:
 		}
+		f.leaveIfOut()
 		for _, t := range f.Taken() {
 			if ask, _, _ := t.Look(); ask.Task == MaintenanceTask && f.serving() {
 				f.log.Info().Uint64("token", ask.Token).Msg("back from maintenance; the slot is given back")
@@ -153,6 +199,45 @@
 	}
 }
 
+// leaveIfOut takes the box out of service while it is shut out, if the fleet's configuration says so. How many may be shut out
+// at a time is bounded there.
+func (f *Fleet) leaveIfOut() {
+	f.mu.Lock()
+	r, gone := f.replica, f.gone
+	f.mu.Unlock()
+	out := f.Leaves()
+	if r == nil || out == gone || out && !f.serving() {
+		return
+	}
+	if err := r.Operator().Drain(out); err != nil {
+		f.log.Warn().Err(err).Bool("leave", out).Msg("shut out of the fleet, and service cannot be left or taken up")
+		return
+	}
+	f.log.Warn().Bool("leave", out).Msg("service is left while the box is shut out of the fleet")
+	f.Note(audit.Drain, out, "shut out of the fleet")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone = out
+}
+
+// AuditFolder implements control.Fleet.
+func (f *Fleet) AuditFolder() string {
+	dir := filepath.Join(f.cfg.State, "audit")
+	if abs, err := filepath.Abs(dir); err == nil {
+		return abs
+	}
+	return dir
+}
+
+// Operated implements control.Fleet: the audit has who has said what.
+func (f *Fleet) Operated(caller, what string, err error) {
+	if err != nil {
+		what += ": " + err.Error()
+	}
+	what = caller + ": " + what
+	f.Note(audit.Operator, err == nil, what[:min(len(what), 400)])
+}
+
 // Begin implements control.Fleet.
 func (f *Fleet) Begin(r lease.Request) (uint64, error) {
 	if r.Task == MaintenanceTask {
--- a/internal/appliance/parts_trial.go
+++ b/internal/appliance/parts_trial.go
@@ -3,6 +3,10 @@
 package appliance
 
 import (
+	"fmt"
+	"slices"
+	"strings"
+
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/lab/actor"
 )
@@ -11,3 +15,11 @@
 func (b *Box) trialParts() []daemon.Part {
 	return []daemon.Part{&actor.Part{Box: b.cfg.Site.Name, Fleet: b.fleet.Running}}
 }
+
+// trialRefuses has boxes of a trial turn a configuration down that names them, or all.
+func trialRefuses(box string, values map[string]string) error {
+	if list := strings.Split(values["TRIAL_REFUSE"], ","); slices.Contains(list, box) || slices.Contains(list, "all") {
+		return fmt.Errorf("values: %s is to turn it down", box)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/numbered_test.go
@@ -0,0 +1,34 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestANumberedConfiguration: what is wrong in it is said with its line.
+func TestANumberedConfiguration(t *testing.T) {
+	for src, want := range map[string]string{
+		"":          "",
+		"needs = 2": "",
+		"values = { A = \"1\", B_2 = \"x\" }\nstragglers {\n grace = \"1m\"\n floor = 0.7\n leave_service = true\n}": "",
+		"needs = ":                           "c:1",
+		"need = 1":                           "c:1",
+		"\nvalues = { a = \"1\" }":           "c:2",
+		"stragglers {\n grace = \"soon\"\n}": "c:2: grace",
+		"stragglers {\n floor = 2\n}":        "c:2: floor",
+		"stragglers {}\nstragglers {}":       "c:2",
+	} {
+		n, err := ParseNumbered("c", []byte(src))
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v; %q is wanted", src, err, want)
+		}
+		if err == nil && n.Rules().Grace <= 0 {
+			t.Errorf("%q: %+v", src, n.Rules())
+		}
+	}
+	n, err := ParseNumbered("c", []byte("stragglers {\n grace = \"1m\"\n floor = 0.7\n leave_service = true\n}"))
+	if err != nil || n.Rules().Grace != time.Minute || n.Rules().Floor != 0.7 || !n.Rules().Leave {
+		t.Errorf("%+v, %v", n, err)
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cairnlane/internal/certs"
 	"cairnlane/internal/operator"
 	"cairnlane/internal/state/keystore"
@@ -74,7 +76,10 @@
 		os.Remove(hidden)
 		return nil, fmt.Errorf("control: %w", err)
 	}
-	s := &Server{path: path, http: &http.Server{Handler: handler(d), ReadTimeout: 5 * time.Second, WriteTimeout: callTime, MaxHeaderBytes: 8 << 10}}
+	s := &Server{path: path, http: &http.Server{Handler: handler(d), ReadTimeout: 5 * time.Second, WriteTimeout: callTime, MaxHeaderBytes: 8 << 10,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, peerOf(c))
+		}}}
 	go s.http.Serve(ln)
 	return s, nil
 }
@@ -89,7 +94,12 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Status(), nil) })
 	mux.HandleFunc("POST /stop", func(w http.ResponseWriter, _ *http.Request) { d.Stop(); reply(w, struct{}{}, nil) })
 	mux.HandleFunc("POST /call/{call}", func(w http.ResponseWriter, r *http.Request) {
-		reply(w, string(operator.Answer(r.PathValue("call"), d.Operator())), nil)
+		call := r.PathValue("call")
+		answer := string(operator.Answer(call, d.Operator()))
+		if f := d.Fleet(); f != nil && strings.HasPrefix(call, "drain") {
+			f.Operated(callerOf(r), call+" "+strings.TrimSpace(answer), nil)
+		}
+		reply(w, answer, nil)
 	})
 	mux.HandleFunc("GET /certificates", func(w http.ResponseWriter, _ *http.Request) { reply(w, d.Certificates(), nil) })
 	mux.HandleFunc("GET /certificates/{name}/history", func(w http.ResponseWriter, r *http.Request) {
@@ -111,6 +121,32 @@
 	return mux
 }
 
+type callerKey struct{}
+
+// peerOf tells who calls, as the system knows it: the socket is open to one user, but a root shell may call as well.
+func peerOf(c net.Conn) string {
+	u, ok := c.(*net.UnixConn)
+	if !ok {
+		return "unknown"
+	}
+	raw, err := u.SyscallConn()
+	if err != nil {
+		return "unknown"
+	}
+	who := "unknown"
+	raw.Control(func(fd uintptr) {
+		if cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED); err == nil {
+			who = fmt.Sprintf("user %d, process %d", cred.Uid, cred.Pid)
+		}
+	})
+	return who
+}
+
+func callerOf(r *http.Request) string {
+	who, _ := r.Context().Value(callerKey{}).(string)
+	return who
+}
+
 type failure struct {
 	Error string `json:"error"`
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -4,13 +4,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
 	"cairnlane/internal/fleet"
 )
 
@@ -23,6 +26,14 @@
 	Init(terms lease.Terms, voters []string) error
 	Recover() error
 	ChangeVoters(how string, names []string) error // add, remove or replace; replace takes the old and the new name
+	AuditFolder() string
+	Rollouts() fleet.Rollouts
+	Body(n uint64) ([]byte, error)
+	PutConfig(src []byte, caller string) (uint64, error)
+	StartRoll(n uint64, p rollout.Plan, caller string) error
+	ChangeRoll(kind rollout.Kind, why, caller string) error
+	SetLowest(n uint64) error
+	Operated(caller, what string, err error) // for the audit
 	Free(token uint64) error
 	StopEarly(token uint64) error
 
@@ -50,6 +61,9 @@
 				return
 			}
 			v, err := do(f, r)
+			if r.Method == http.MethodPost && !strings.HasPrefix(pattern, "POST /fleet/runs") {
+				f.Operated(callerOf(r), what(r), err)
+			}
 			reply(w, v, err)
 		})
 	}
@@ -63,6 +77,30 @@
 	handle("GET /fleet/status", func(f Fleet, _ *http.Request) (any, error) { return f.Status(), nil })
 	handle("GET /fleet/members", func(f Fleet, _ *http.Request) (any, error) { return f.Members(), nil })
 	handle("GET /fleet/leases", func(f Fleet, _ *http.Request) (any, error) { return f.Leases(), nil })
+	handle("GET /fleet/audit", func(f Fleet, _ *http.Request) (any, error) { return f.AuditFolder(), nil })
+	handle("GET /fleet/rollouts", func(f Fleet, _ *http.Request) (any, error) { return f.Rollouts(), nil })
+	handle("GET /fleet/config/{n}", func(f Fleet, r *http.Request) (any, error) {
+		b, err := f.Body(number(r, "n"))
+		return string(b), err
+	})
+	handle("POST /fleet/config", func(f Fleet, r *http.Request) (any, error) {
+		return f.PutConfig([]byte(r.FormValue("body")), callerOf(r))
+	})
+	act("POST /fleet/rollout/{n}", func(f Fleet, r *http.Request) error {
+		p := rollout.DefaultPlan
+		if err := json.Unmarshal([]byte(r.FormValue("plan")), &p); err != nil {
+			return fmt.Errorf("plan: %w", err)
+		}
+		return f.StartRoll(number(r, "n"), p, callerOf(r))
+	})
+	act("POST /fleet/rollout/change/{how}", func(f Fleet, r *http.Request) error {
+		kind, ok := map[string]rollout.Kind{"hold": rollout.Hold, "resume": rollout.Resume, "abort": rollout.Abort}[r.PathValue("how")]
+		if !ok {
+			return fmt.Errorf("%q is none of hold, resume, abort", r.PathValue("how"))
+		}
+		return f.ChangeRoll(kind, r.FormValue("why"), callerOf(r))
+	})
+	act("POST /fleet/lowest/{n}", func(f Fleet, r *http.Request) error { return f.SetLowest(number(r, "n")) })
 	handle("GET /fleet/marks", func(f Fleet, _ *http.Request) (any, error) { return f.Marks(), nil })
 	act("POST /fleet/init", func(f Fleet, r *http.Request) error {
 		term, terr := time.ParseDuration(r.FormValue("term"))
@@ -101,6 +139,18 @@
 	act("POST /fleet/maintenance/{id}/{what}", func(f Fleet, r *http.Request) error { return f.Enter(number(r, "id"), r.PathValue("what")) })
 }
 
+// what is a call as the audit has it: its path and what was said with it, but for contents.
+func what(r *http.Request) string {
+	var b strings.Builder
+	b.WriteString(strings.TrimPrefix(r.URL.Path, "/fleet/"))
+	for _, k := range slices.Sorted(maps.Keys(r.PostForm)) {
+		if k != "body" {
+			fmt.Fprintf(&b, " %s=%s", k, r.PostForm.Get(k))
+		}
+	}
+	return b.String()
+}
+
 // FleetClient asks a daemon of its fleet. It implements Fleet but for the errors of those that only show.
 type FleetClient struct{ *Client }
 
@@ -116,6 +166,47 @@
 	return s, c.call("GET", "/fleet/status", nil, &s)
 }
 
+// AuditFolder asks where the box's audit stands.
+func (c FleetClient) AuditFolder() (dir string, err error) {
+	return dir, c.call("GET", "/fleet/audit", nil, &dir)
+}
+
+// Rollouts asks how configurations and their roll-outs stand.
+func (c FleetClient) Rollouts() (s fleet.Rollouts, err error) {
+	return s, c.call("GET", "/fleet/rollouts", nil, &s)
+}
+
+// Body asks for the contents of a numbered configuration.
+func (c FleetClient) Body(n uint64) ([]byte, error) {
+	var s string
+	err := c.call("GET", fmt.Sprintf("/fleet/config/%d", n), nil, &s)
+	return []byte(s), err
+}
+
+// PutConfig has a configuration be checked, kept and numbered.
+func (c FleetClient) PutConfig(src []byte) (n uint64, err error) {
+	return n, c.call("POST", "/fleet/config", url.Values{"body": {string(src)}}, &n)
+}
+
+// StartRoll begins a roll-out.
+func (c FleetClient) StartRoll(n uint64, p rollout.Plan) error {
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	return c.post(fmt.Sprintf("/fleet/rollout/%d", n), url.Values{"plan": {string(raw)}})
+}
+
+// ChangeRoll holds, resumes or aborts the roll-out that runs.
+func (c FleetClient) ChangeRoll(how, why string) error {
+	return c.post("/fleet/rollout/change/"+how, url.Values{"why": {why}})
+}
+
+// SetLowest has the fleet allow no lower number.
+func (c FleetClient) SetLowest(n uint64) error {
+	return c.post(fmt.Sprintf("/fleet/lowest/%d", n), nil)
+}
+
 // Members lists the boxes of the fleet.
 func (c FleetClient) Members() (l []fleet.Member, err error) {
 	return l, c.call("GET", "/fleet/members", nil, &l)
--- a/internal/decide/lease/holder.go
+++ b/internal/decide/lease/holder.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // State is how a request for a slot stands, as its box knows.
@@ -453,11 +455,19 @@
 // Report tells the head of the box's audit chain. It tells whether there is a session to tell it in.
 func (h *Holder) Report(now time.Duration, m Mark) bool {
 	if h.phase == In {
-		h.make(now, Command{Kind: Report, Chain: m.Chain, N: m.N, Sum: m.Sum})
+		h.make(now, Command{Kind: Report, Chain: m.Chain, N: m.N, Sum: m.Sum, First: m.First})
 	}
 	return h.phase == In
 }
 
+// Carry has the ledger take a payload in this session, and returns its number; 0 when there is no session.
+func (h *Holder) Carry(now time.Duration, payload cbor.ByteString) uint64 {
+	if h.phase != In {
+		return 0
+	}
+	return h.make(now, Command{Kind: Carry, Payload: payload})
+}
+
 // Stop asks the holder of a token to stop early.
 func (h *Holder) Stop(now time.Duration, token uint64) {
 	if h.phase == In {
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -23,6 +23,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Terms are what a fleet has agreed on; they are part of what the ledger holds.
@@ -73,9 +75,10 @@
 	Stop                    // asks the holder of Token to stop early
 	Part                    // ends the session; the box acts no more
 	Report                  // tells the head of the box's audit chain: Chain, N and Sum
+	Carry                   // carries what is not about leases, once and in the session's order: Payload
 )
 
-var kinds = [...]string{"", "join", "expire", "free", "open", "renew", "acquire", "release", "stop", "part", "report"}
+var kinds = [...]string{"", "join", "expire", "free", "open", "renew", "acquire", "release", "stop", "part", "report", "carry"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -86,22 +89,24 @@
 
 // Command is one entry of the ledger that concerns leases. Fields that a kind does not use are left out.
 type Command struct {
-	Kind     Kind   `cbor:"1,keyasint"`
-	Session  uint64 `cbor:"2,keyasint,omitempty"`
-	Seq      uint64 `cbor:"3,keyasint,omitempty"`
-	Box      string `cbor:"4,keyasint,omitempty"`
-	Nonce    uint64 `cbor:"5,keyasint,omitempty"`  // drawn by each process of a box
-	Try      uint64 `cbor:"13,keyasint,omitempty"` // counts the joins of a process
-	Build    string `cbor:"6,keyasint,omitempty"`
-	Task     string `cbor:"7,keyasint,omitempty"`
-	Ask      uint64 `cbor:"8,keyasint,omitempty"` // the Seq of the Acquire that is meant
-	Slots    int    `cbor:"9,keyasint,omitempty"`
-	Priority int    `cbor:"10,keyasint,omitempty"`
-	Sticky   bool   `cbor:"11,keyasint,omitempty"` // the slot outlives the session: see Lease
-	Token    uint64 `cbor:"12,keyasint,omitempty"`
-	Chain    string `cbor:"14,keyasint,omitempty"`
-	N        uint64 `cbor:"15,keyasint,omitempty"`
-	Sum      string `cbor:"16,keyasint,omitempty"` // in hexadecimal
+	Kind     Kind            `cbor:"1,keyasint"`
+	Session  uint64          `cbor:"2,keyasint,omitempty"`
+	Seq      uint64          `cbor:"3,keyasint,omitempty"`
+	Box      string          `cbor:"4,keyasint,omitempty"`
+	Nonce    uint64          `cbor:"5,keyasint,omitempty"`  // drawn by each process of a box
+	Try      uint64          `cbor:"13,keyasint,omitempty"` // counts the joins of a process
+	Build    string          `cbor:"6,keyasint,omitempty"`
+	Task     string          `cbor:"7,keyasint,omitempty"`
+	Ask      uint64          `cbor:"8,keyasint,omitempty"` // the Seq of the Acquire that is meant
+	Slots    int             `cbor:"9,keyasint,omitempty"`
+	Priority int             `cbor:"10,keyasint,omitempty"`
+	Sticky   bool            `cbor:"11,keyasint,omitempty"` // the slot outlives the session: see Lease
+	Token    uint64          `cbor:"12,keyasint,omitempty"`
+	Chain    string          `cbor:"14,keyasint,omitempty"`
+	N        uint64          `cbor:"15,keyasint,omitempty"`
+	Sum      string          `cbor:"16,keyasint,omitempty"` // in hexadecimal
+	First    uint64          `cbor:"18,keyasint,omitempty"`
+	Payload  cbor.ByteString `cbor:"17,keyasint,omitempty"` // the table does not look into it
 }
 
 // Mark is the head of a box's audit chain, as the box has told it.
@@ -109,6 +114,8 @@
 	Chain string `cbor:"1,keyasint" json:"chain"`
 	N     uint64 `cbor:"2,keyasint" json:"n"`
 	Sum   string `cbor:"3,keyasint" json:"sum"`
+	Index uint64 `cbor:"4,keyasint" json:"index"` // at which it was told: what is before N was done before
+	First uint64 `cbor:"5,keyasint" json:"first"` // from this entry on the box has kept all; 0: it does not know
 }
 
 // marksKept is how many marks are kept for each box; the oldest go first.
@@ -182,11 +189,12 @@
 	Token    uint64              `cbor:"2,keyasint"` // the last that was given out; it only grows
 	Ticket   uint64              `cbor:"3,keyasint"`
 	Sessions map[uint64]*Session `cbor:"4,keyasint"`
-	Names    map[string]uint64   `cbor:"5,keyasint"` // the newest session of each box that has one
-	Tasks    map[string]*Task    `cbor:"6,keyasint"` // those that somebody holds or waits for
-	Left     map[string]Ended    `cbor:"8,keyasint"` // the last session of boxes that have none now
-	Marks    map[string][]Mark   `cbor:"9,keyasint"` // of each box, oldest first
-	Closed   uint64              `cbor:"7,keyasint"` // not 0: nothing is granted until a judge opens; see Close
+	Names    map[string]uint64   `cbor:"5,keyasint"`            // the newest session of each box that has one
+	Tasks    map[string]*Task    `cbor:"6,keyasint"`            // those that somebody holds or waits for
+	Left     map[string]Ended    `cbor:"8,keyasint"`            // the last session of boxes that have none now
+	Marks    map[string][]Mark   `cbor:"9,keyasint"`            // of each box, oldest first
+	Closed   uint64              `cbor:"7,keyasint"`            // not 0: nothing is granted until a judge opens; see Close
+	Barred   map[string]bool     `cbor:"10,keyasint,omitempty"` // boxes that are granted nothing; see Bar
 }
 
 // NewTable returns an empty one.
@@ -204,6 +212,7 @@
 	ErrFull       = errors.New("the fleet keeps no more of these")
 	ErrNotHeld    = errors.New("nobody holds or waits for this")
 	ErrBad        = errors.New("not a command that this box knows")
+	ErrBarred     = errors.New("this box is shut out of the fleet until it is up to date; 'cairnctl fleet stragglers' says what is missing")
 )
 
 // Apply carries out a command that stands at an index of the ledger.
@@ -244,8 +253,11 @@
 		return ErrOrder
 	}
 	s.Seq = c.Seq
+	if t.Barred[s.Box] && (c.Kind == Acquire || c.Kind == Stop) {
+		return ErrBarred
+	}
 	switch c.Kind {
-	case Renew:
+	case Renew, Carry:
 		return nil
 	case Acquire:
 		return t.acquire(s, c)
@@ -257,7 +269,7 @@
 		t.end(s, true)
 		return nil
 	case Report:
-		return t.report(s.Box, Mark{c.Chain, c.N, c.Sum})
+		return t.report(s.Box, Mark{c.Chain, c.N, c.Sum, index, c.First})
 	}
 	return ErrBad
 }
@@ -459,6 +471,28 @@
 	return ErrNotHeld
 }
 
+// Bar has a box be granted nothing until Unbar. Its session may renew no more and ends as that of a box which is not heard: what
+// it holds is another's once the judges have waited for it, so a box that has not heard of it yet is no danger. It joins anew, to
+// say that it is up to date.
+func (t *Table) Bar(box string) {
+	if t.Barred == nil {
+		t.Barred = map[string]bool{}
+	}
+	t.Barred[box] = true
+	if s := t.Sessions[t.Names[box]]; s != nil {
+		s.Past = true
+		delete(t.Names, box)
+		t.Left[box] = Ended{s.ID, false}
+	}
+}
+
+// Unbar ends what Bar began.
+func (t *Table) Unbar(box string) {
+	if delete(t.Barred, box); len(t.Barred) == 0 {
+		t.Barred = nil
+	}
+}
+
 // Close begins the table anew above a token, for an operator who gives up a ledger whose majority is lost. Holders whom
 // the lost ledger had may still act, and not all of them are known here; so nothing is granted until a judge has waited
 // for a term and asks to Open.
@@ -469,7 +503,7 @@
 // Clone returns a copy that shares nothing.
 func (t *Table) Clone() *Table {
 	c := *t
-	c.Left = maps.Clone(t.Left)
+	c.Left, c.Barred = maps.Clone(t.Left), maps.Clone(t.Barred)
 	c.Marks = maps.Clone(t.Marks) // a box's list is made anew when it changes
 	c.Sessions, c.Names, c.Tasks = make(map[uint64]*Session, len(t.Sessions)), maps.Clone(t.Names), make(map[string]*Task, len(t.Tasks))
 	for id, s := range t.Sessions {
--- a/internal/fleet/command/command.go
+++ b/internal/fleet/command/command.go
@@ -36,6 +36,7 @@
 
 // Config is how a command is run.
 type Config struct {
+	Env     []string // beside the system's and what stands below
 	Request lease.Request
 	Wait    time.Duration // for the slot; 0 waits as long as it takes
 	Grace   time.Duration // from the request to end to the end by force, as far as the lease allows
@@ -106,7 +107,7 @@
 
 	cmd := exec.Command(cfg.Command[0], cfg.Command[1:]...)
 	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, os.Stdout, os.Stderr
-	cmd.Env = append(os.Environ(), "CAIRNLANE_TASK="+cfg.Request.Task, "CAIRNLANE_TOKEN="+strconv.FormatUint(s.Token, 10))
+	cmd.Env = append(append(os.Environ(), cfg.Env...), "CAIRNLANE_TASK="+cfg.Request.Task, "CAIRNLANE_TOKEN="+strconv.FormatUint(s.Token, 10))
 	// The command waits in a group of its own until the desk knows of it: it must not act before both guards do.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	hold, release, err := os.Pipe()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,9 +12,12 @@
 
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/decide/straggler"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/fleet/peer"
 	"cairnlane/internal/state/audit"
+	"cairnlane/internal/state/configs"
 )
 
 // Config is a box's place in its fleet.
@@ -28,19 +31,25 @@
 	Timing  ledger.Timing
 	Now     func() time.Duration // a clock that also runs while the machine sleeps: clock.Boot
 	Told    func(format string, args ...any)
-	Audit   *audit.Log  // what the box did that matters to others; may be nil
-	Acts    audit.Build // the version that the box acts as
+	Audit   *audit.Log                                                                 // what the box did that matters to others; may be nil
+	Acts    audit.Build                                                                // the version that the box acts as
+	Number  uint64                                                                     // of the build
+	Configs *configs.Store                                                             // nil: no part in roll-outs
+	Check   func(n uint64, body []byte) (needs uint64, rules rollout.Rules, err error) // of a configuration, against this build
+	Served  func() (good, bad uint64)                                                  // requests of this process; may be nil
 }
 
 // The kinds of messages on the links, in the order in which they go.
 const (
 	kindLedger  = byte(iota) // what keeps the agreement going; it is of no use late
 	kindRecords              // what boxes that follow are told
+	kindBodies               // contents of configurations
 )
 
 var kinds = []peer.Kind{
 	kindLedger:  {Messages: 2048, Bytes: 16 << 20, Stale: 3 * time.Second},
 	kindRecords: {Messages: 256, Bytes: 32 << 20, Stale: 10 * time.Second},
+	kindBodies:  {Messages: 64, Bytes: 4 << 20, Stale: 5 * time.Second},
 }
 
 // inboxMost is how many messages may wait for the node. What is beyond is lost, as on a network.
@@ -67,11 +76,15 @@
 	closed  bool
 	phase   lease.Phase // as it stands in the audit
 	session uint64
+	stands  straggler.State
+
+	versions *versions // nil: no part in roll-outs
 }
 
 type received struct {
 	from string
 	m    ledger.Message
+	body *body // or this
 }
 
 // decoding bounds what a message may claim to hold.
@@ -85,7 +98,7 @@
 
 // Open takes up the box's part and begins to talk to its peers.
 func Open(cfg Config, set *counters.Set) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, inbox: make(chan received, inboxMost), ended: make(chan struct{}), kick: make(chan struct{}, 1), changed: make(chan struct{}),
+	f := &Fleet{cfg: cfg, inbox: make(chan received, inboxMost), stands: straggler.Level, ended: make(chan struct{}), kick: make(chan struct{}, 1), changed: make(chan struct{}),
 		lost: set.Get("fleet_messages_lost"), over: set.Get("fleet_effects_over_time")}
 	var err error
 	if f.store, err = ledger.OpenStore(cfg.Dir); err != nil {
@@ -95,11 +108,23 @@
 	for name := range cfg.Peers {
 		seeds = append(seeds, name)
 	}
-	f.node, err = NewNode(cfg.Now(), NodeConfig{Name: cfg.Name, Build: cfg.Build, Seeds: seeds, Timing: cfg.Timing,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Disk: f.store, Told: cfg.Told})
+	nc := NodeConfig{Name: cfg.Name, Build: cfg.Build, Seeds: seeds, Timing: cfg.Timing,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Disk: f.store, Told: cfg.Told, Number: cfg.Number}
+	if cfg.Configs != nil {
+		now := cfg.Configs.InForce()
+		f.versions = &versions{f: f, store: cfg.Configs, fetches: map[string]*fetch{}, good: cfg.Served}
+		nc.Configs, nc.InForce, nc.Since = f.versions, now.N, Place{now.Fleet, now.Index}
+		cfg.Acts.Fleet, cfg.Acts.Digest = now.N, now.Digest
+	}
+	// A peer may call before the node is there; it is heard then.
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links, err = peer.Listen(peer.Config{Name: cfg.Name, Listen: cfg.Listen, Peers: cfg.Peers, Kinds: kinds, Now: cfg.Now, Set: set, Told: cfg.Told,
+		Keys: func() ([][]byte, error) { return peer.LoadKeys(cfg.KeyFile) }}, f.receive)
 	if err == nil {
-		f.links, err = peer.Listen(peer.Config{Name: cfg.Name, Listen: cfg.Listen, Peers: cfg.Peers, Kinds: kinds, Now: cfg.Now, Set: set, Told: cfg.Told,
-			Keys: func() ([][]byte, error) { return peer.LoadKeys(cfg.KeyFile) }}, f.receive)
+		if f.node, err = NewNode(cfg.Now(), nc); err != nil {
+			f.links.Close()
+		}
 	}
 	if err != nil {
 		f.store.Close()
@@ -107,7 +132,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
-	f.note(audit.Entry{Kind: audit.Version, Build: &cfg.Acts})
+	f.noteLocked(audit.Entry{Kind: audit.Version, Build: &cfg.Acts})
 	go f.run(ctx)
 	go f.tellMarks(ctx)
 	return f, nil
@@ -117,14 +142,21 @@
 func (f *Fleet) Addr() string { return f.links.Addr() }
 
 // receive takes a message off a link. It is lent for the call.
-func (f *Fleet) receive(from string, _ byte, payload []byte) {
-	var m ledger.Message
-	if err := decoding.Unmarshal(payload, &m); err != nil {
+func (f *Fleet) receive(from string, kind byte, payload []byte) {
+	r := received{from: from}
+	var err error
+	if kind == kindBodies {
+		r.body = new(body)
+		err = decoding.Unmarshal(payload, r.body)
+	} else {
+		err = decoding.Unmarshal(payload, &r.m)
+	}
+	if err != nil {
 		f.lost.Inc()
 		return
 	}
 	select {
-	case f.inbox <- received{from, m}:
+	case f.inbox <- r:
 	default:
 		f.lost.Inc()
 	}
@@ -141,10 +173,9 @@
 			return
 		case r := <-f.inbox:
 			f.with(func(now time.Duration) {
-				f.node.Receive(now, r.from, r.m)
+				f.take(now, r)
 				for range len(f.inbox) { // what has come meanwhile
-					r := <-f.inbox
-					f.node.Receive(now, r.from, r.m)
+					f.take(now, <-f.inbox)
 				}
 			})
 		case <-f.kick:
@@ -159,6 +190,17 @@
 	}
 }
 
+// take gives the node what a peer has said.
+func (f *Fleet) take(now time.Duration, r received) {
+	switch {
+	case r.body == nil:
+		f.node.Receive(now, r.from, r.m)
+	case f.versions != nil:
+		f.versions.heard(now, r.from, *r.body)
+		f.node.Tick(now)
+	}
+}
+
 // with does something with the node, and then sends what it has to say and wakes those who wait.
 func (f *Fleet) with(do func(now time.Duration)) {
 	f.mu.Lock()
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -151,7 +151,7 @@
 		return err
 	}
 	l.core, l.fail, l.digests, l.newest, l.gather = nil, nil, map[uint64]uint64{}, 0, nil
-	l.state = &State{Version: Version, Table: lease.NewTable(lease.Terms{Term: lease.MaxTerm}), Voters: map[string]voters.Voter{}}
+	l.state = &State{Version: 1, Table: lease.NewTable(lease.Terms{Term: lease.MaxTerm}), Voters: map[string]voters.Voter{}}
 	if data := saved.Snapshot.GetData(); len(data) > 0 {
 		if l.state, err = Decode(data); err != nil {
 			return err
@@ -320,7 +320,7 @@
 // take has the leader gather commands for its next entry. Those that were applied already are left out.
 func (l *Ledger) take(now time.Duration, m Message) {
 	if len(m.Want) > 0 && checkWant(m.Want) == nil {
-		l.enter(Entry{Version: Version, Want: m.Want})
+		l.enter(Entry{Version: 1, Want: m.Want})
 	}
 	for _, c := range m.Commands {
 		if s := l.state.Table.Sessions[c.Session]; c.Session != 0 && c.Kind != lease.Expire && (s == nil || c.Seq <= s.Seq) {
@@ -349,7 +349,7 @@
 	last, _ := l.core.log.LastIndex()
 	for len(l.gather) > 0 && (last == l.core.applied || len(l.gather) >= CommandsMost || now >= l.gathered+l.cfg.Timing.Gather) {
 		n := min(len(l.gather), CommandsMost)
-		if !l.enter(Entry{Version: Version, Commands: l.gather[:n]}) {
+		if !l.enter(Entry{Version: versionOf(l.gather[:n]), Commands: l.gather[:n]}) {
 			l.gather = nil // whoever made them sends them again
 			return
 		}
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -18,12 +18,24 @@
 	"google.golang.org/protobuf/proto"
 
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
 	"cairnlane/internal/decide/voters"
 )
 
 // Version is of the entries that this build understands. A box applies none of a later one: it could not come to the same
-// state as the others.
-const Version = 1
+// state as the others. An entry says the least version that it needs, so that builds of several versions are one fleet until
+// something is said that the older ones do not know. Since 2 there are roll-outs.
+const Version = 2
+
+// versionOf is what a box must understand to apply commands.
+func versionOf(list []lease.Command) uint64 {
+	for _, c := range list {
+		if c.Kind == lease.Carry {
+			return 2
+		}
+	}
+	return 1
+}
 
 // eraShift leaves each era 2^40 numbers of its own. Indexes and tokens of an era begin above all that earlier ones can have
 // given out, also where the ledger that gave them is lost.
@@ -38,7 +50,8 @@
 	Table   *lease.Table            `cbor:"5,keyasint"`
 	Want    []string                `cbor:"6,keyasint"` // the boxes that are to vote
 	Voters  map[string]voters.Voter `cbor:"7,keyasint"`
-	Old     []uint64                `cbor:"8,keyasint"` // identities in the votes whose box has another one now
+	Old     []uint64                `cbor:"8,keyasint"`           // identities in the votes whose box has another one now
+	Rollout *rollout.Table          `cbor:"9,keyasint,omitempty"` // nil before the first configuration
 }
 
 // Entry is what one place of the log holds.
@@ -71,7 +84,7 @@
 
 // Begin is the state of a fleet at its beginning.
 func Begin(fleet uint64, terms lease.Terms, want []string, self string, id uint64) *State {
-	s := &State{Version: Version, Fleet: fleet, Era: 1, Index: 1 << eraShift, Table: lease.NewTable(terms), Want: slices.Clone(want),
+	s := &State{Version: 1, Fleet: fleet, Era: 1, Index: 1 << eraShift, Table: lease.NewTable(terms), Want: slices.Clone(want),
 		Voters: map[string]voters.Voter{self: {ID: id}}}
 	s.Table.Token = 1 << eraShift
 	return s
@@ -93,6 +106,9 @@
 func (s *State) Clone() *State {
 	n := *s
 	n.Table, n.Want, n.Voters, n.Old = s.Table.Clone(), slices.Clone(s.Want), maps.Clone(s.Voters), slices.Clone(s.Old)
+	if s.Rollout != nil {
+		n.Rollout = s.Rollout.Clone()
+	}
 	return &n
 }
 
@@ -132,6 +148,12 @@
 	if s.Table.Tasks == nil {
 		s.Table.Tasks = map[string]*lease.Task{}
 	}
+	if s.Rollout != nil && s.Rollout.Boxes == nil {
+		s.Rollout.Boxes = map[string]rollout.Standing{}
+	}
+	if s.Rollout != nil && s.Rollout.Out == nil {
+		s.Rollout.Out = map[string]rollout.Out{}
+	}
 	if s.Voters == nil {
 		s.Voters = map[string]voters.Voter{}
 	}
@@ -172,15 +194,74 @@
 		list, why = e.Commands, make([]error, len(e.Commands))
 		for i, c := range e.Commands {
 			// Each command has a number of its own, so that two sessions begun by one entry differ.
-			why[i] = s.Table.Apply(r.Index<<8|uint64(i), c)
+			at := r.Index<<CommandBits | uint64(i)
+			if why[i] = s.Table.Apply(at, c); why[i] == nil && c.Kind == lease.Carry {
+				why[i] = s.carry(at, c)
+			}
 		}
 	}
 	s.Index = r.Index
 	return list, why, nil
 }
 
+// Conductor is the task whose holder conducts the fleet's roll-out.
+const Conductor = "fleet/conductor"
+
+// carry applies what a command of a session carries.
+func (s *State) carry(index uint64, c lease.Command) error {
+	s.Version = max(s.Version, 2)
+	var r rollout.Command
+	if err := decoding.Unmarshal([]byte(c.Payload), &r); err != nil {
+		return rollout.ErrBad
+	}
+	box := s.Table.Sessions[c.Session].Box
+	if s.Table.Barred[box] && r.Kind != rollout.Tell { // its words about the fleet are not believed
+		return lease.ErrBarred
+	}
+	if s.Rollout == nil {
+		s.Rollout = rollout.NewTable()
+	}
+	of := rollout.Of{Index: index, Box: box, Session: c.Session, Living: s.Table.Names, Known: s.Known()}
+	if task := s.Table.Tasks[Conductor]; task != nil {
+		of.Conducts = slices.ContainsFunc(task.Holders, func(l lease.Lease) bool { return l.Session == c.Session && !l.Orphan })
+	}
+	if err := s.Rollout.Apply(r, of); err != nil {
+		return err
+	}
+	switch _, out := s.Rollout.Out[box]; {
+	case r.Kind == rollout.ShutOut:
+		s.Table.Bar(r.Box)
+	case r.Kind == rollout.Tell && !out && s.Table.Barred[box]:
+		s.Table.Unbar(box)
+	}
+	return nil
+}
+
+// Known counts the boxes of the fleet, those that died included and those that left in order not.
+func (s *State) Known() int {
+	n := len(s.Table.Names)
+	for _, e := range s.Table.Left {
+		if !e.Parted {
+			n++
+		}
+	}
+	return n
+}
+
+// Carry makes the payload of a command.
+func Carry(c rollout.Command) cbor.ByteString {
+	raw, err := encoding.Marshal(c)
+	if err != nil {
+		panic(err) // of our own types
+	}
+	return cbor.ByteString(raw)
+}
+
 // CommandsMost is how many commands one entry holds; see apply.
-const CommandsMost = 256
+const CommandsMost = 1 << CommandBits
+
+// CommandBits are the low ones of a command's number: its place in its entry. The rest is the entry's index.
+const CommandBits = 8
 
 // confChange reads what a change of voters says of a box. Leaving a joint state says nothing.
 func confChange(r Record) (c voters.Change, ok bool) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -5,11 +5,13 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
 	"cairnlane/internal/fleet/ledger"
 )
 
@@ -22,6 +24,11 @@
 	Rand   *rand.Rand
 	Disk   ledger.Disk
 	Told   func(format string, args ...any)
+
+	Configs Configs // nil: this box takes no part in roll-outs
+	InForce uint64  // the configuration that the disk has in force; 0: none
+	Since   Place   // where it was put in force: an older ledger is not followed back to what was before
+	Number  uint64  // of the build
 }
 
 // Node is one box's part without any I/O: messages and the time go in, messages come out. The same code runs in a process
@@ -36,6 +43,8 @@
 	next   time.Duration
 	reopen time.Duration
 	count  Counts
+
+	changes changes
 }
 
 // Counts are what a node has done, for whoever measures.
@@ -51,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, ledger: l, why: map[uint64]error{}}
+	n := &Node{cfg: cfg, ledger: l, why: map[uint64]error{}, changes: changes{box: rollout.NewBox(cfg.InForce, cfg.Number)}}
 	n.holder = lease.NewHolder(cfg.Name, cfg.Build, cfg.Rand.Uint64()|1, l.State().Table.Terms)
 	n.turn(now)
 	return n, nil
@@ -149,6 +158,7 @@
 	if state.Fleet == 0 || n.ledger.Failed() != nil {
 		return false
 	}
+	n.change(now)
 	list, next := n.holder.Due(now)
 	n.next = min(n.next, next)
 	if until := n.holder.Until(); until > now {
@@ -235,6 +245,9 @@
 	if err := n.ledger.Alarm(); err != nil {
 		return err
 	}
+	if s := n.Stands(); !s.MayBegin() {
+		return fmt.Errorf("%w: it is %v, with %d in force and %d the lowest that is allowed", ErrBehind, s, n.InForce(), n.Lowest())
+	}
 	return n.holder.May(now, a, need)
 }
 
--- /dev/null
+++ b/internal/fleet/rollouts_test.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/state/audit"
+)
+
+// settle waits until the one box has nothing left to do.
+func (a *alone) settle(t *testing.T, inForce uint64) {
+	t.Helper()
+	end := time.Now().Add(20 * time.Second)
+	for {
+		r := a.Rollouts()
+		if r.Table.Roll == nil && r.InForce == inForce && r.Table.Boxes["a"].InForce == inForce {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d is not in force: %+v %+v", inForce, r, r.Table)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestAConfigurationIsRolledOutAndActedUnder: from the operator's file to the permit of an effect, and into the audit.
+func TestAConfigurationIsRolledOutAndActedUnder(t *testing.T) {
+	a := begin(t)
+	fast := rollout.Plan{Canaries: 1, Share: 1, Patience: time.Minute, Slots: 1}
+	if _, err := a.PutConfig([]byte("wrong"), "x"); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("a wrong one: %v", err)
+	}
+	if _, err := a.PutConfig([]byte("hasty"), "x"); err == nil || !strings.Contains(err.Error(), "grace") {
+		t.Errorf("too short a grace: %v", err)
+	}
+	if _, err := a.PutConfig([]byte("later"), "x"); err == nil || !strings.Contains(err.Error(), "build of number 9") {
+		t.Errorf("one for a later build: %v", err)
+	}
+	if _, err := a.PutConfig(make([]byte, rollout.SizeMost+1), "x"); err == nil {
+		t.Error("one beyond the bound is taken")
+	}
+	var n uint64
+	for i, body := range []string{"one", "two"} {
+		var err error
+		if n, err = a.PutConfig([]byte(body), "x"); err != nil || n != uint64(i+1) {
+			t.Fatalf("number %d, %v", n, err)
+		}
+	}
+	if err := a.StartRoll(9, fast, "x"); !errors.Is(err, rollout.ErrUnknown) {
+		t.Error(err)
+	}
+	if err := a.ChangeRoll(rollout.Abort, "", "x"); !errors.Is(err, ErrNoRoll) {
+		t.Error(err)
+	}
+	k := a.acquire(t, "task")
+	permit := func() (p Permit, err error) {
+		err = k.Act(time.Millisecond, func(got Permit) error { p = got; return nil })
+		return p, err
+	}
+	if p, err := permit(); err != nil || p.Version != 0 || p.Lowest != 0 {
+		t.Errorf("before: %+v, %v", p, err)
+	}
+	if err := a.StartRoll(1, fast, "x"); err != nil {
+		t.Fatal(err)
+	}
+	a.settle(t, 1)
+	if p, err := permit(); err != nil || p.Version != 1 || p.Lowest != 1 {
+		t.Errorf("after: %+v, %v", p, err)
+	}
+	if b, err := a.Body(1); err != nil || string(b) != "one" {
+		t.Errorf("%q, %v", b, err)
+	}
+	a.wrong.Store(true) // as on another build: it is turned down here, and everything goes back
+	if err := a.StartRoll(2, fast, "x"); err != nil {
+		t.Fatal(err)
+	}
+	a.settle(t, 1)
+	if past := a.Rollouts().Table.Past; past[len(past)-1].Phase != rollout.Returned || !strings.Contains(past[len(past)-1].Why, "turned down by a") {
+		t.Errorf("%+v", past)
+	}
+	b, err := audit.Read(a.dir)
+	if err != nil || len(b.Faults) > 0 {
+		t.Fatal(err, b.Faults)
+	}
+	var story []string
+	under := uint64(0)
+	for _, e := range b.Entries {
+		switch e.Kind {
+		case audit.Version:
+			story = append(story, "in force "+string(rune('0'+e.Build.Fleet)))
+			under = e.Build.Fleet
+		case audit.Config:
+			story = append(story, map[bool]string{true: "taken", false: "turned down"}[e.OK])
+		case audit.Effect:
+			story = append(story, "acts")
+			if e.Under != under {
+				t.Errorf("an effect under %d while %d is in force", e.Under, under)
+			}
+		}
+	}
+	if got := strings.Join(story, ", "); got != "in force 0, acts, taken, in force 1, acts, turned down" {
+		t.Error(got)
+	}
+}
+
+// TestABoxThatIsBehindBeginsNothing, whatever lease it holds.
+func TestABoxThatIsBehindBeginsNothing(t *testing.T) {
+	a := begin(t)
+	if _, err := a.PutConfig([]byte("one"), "x"); err != nil {
+		t.Fatal(err)
+	}
+	k := a.acquire(t, "task")
+	a.Fleet.mu.Lock()
+	table := a.node.ledger.State().Rollout
+	table.Target, table.Lowest = 1, 1 // the fleet went on while this box could not store it
+	err := a.node.May(a.now(), k.ask, 0)
+	stands := a.node.Stands()
+	list := a.node.Stragglers(a.now())
+	table.Target, table.Lowest = 0, 0
+	a.Fleet.mu.Unlock()
+	if !errors.Is(err, ErrBehind) || stands.MayBegin() || len(list) != 1 || list[0].Box != "a" {
+		t.Errorf("%v, %v, %+v", err, stands, list)
+	}
+}
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -24,6 +24,9 @@
 type Permit struct {
 	Token uint64        // for what is acted upon; it must refuse a smaller one than it has seen
 	Left  time.Duration // until the effect must have ended, by this box's clock
+	// Version is the fleet's configuration that the effect is made under, and Lowest the lowest one that this box knows to be
+	// allowed, 0 for none. What is acted upon may refuse a Version below the greatest Lowest that it has seen.
+	Version, Lowest uint64
 }
 
 // ErrWaiting says that a slot was not granted within the time for it.
@@ -103,12 +106,13 @@
 // (fleet_effects_over_time) and breaks what is promised.
 func (t *Task) Act(need time.Duration, effect func(Permit) error) error {
 	// The audit has it before it is made, and before the permit is checked: nothing stands between check and effect.
-	ask, _ := t.look()
-	ref := t.f.note(audit.Entry{Kind: audit.Effect, Task: ask.Task, Token: ask.Token})
+	// Both are under one lock, so that the version that the entry names is the one that the permit is for.
 	t.f.mu.Lock()
+	ask := *t.ask
+	ref := t.f.noteLocked(audit.Entry{Kind: audit.Effect, Task: ask.Task, Token: ask.Token})
 	now := t.f.cfg.Now()
 	err := t.f.node.May(now, t.ask, need)
-	p := Permit{Token: t.ask.Token, Left: t.f.node.Holder().Until() - now}
+	p := Permit{Token: t.ask.Token, Left: t.f.node.Holder().Until() - now, Version: t.f.node.InForce(), Lowest: t.f.node.Lowest()}
 	t.f.mu.Unlock()
 	if err != nil {
 		t.f.note(audit.Entry{Kind: audit.Done, Task: ask.Task, Token: ask.Token, Ref: ref, Text: "not made: " + err.Error()})
--- /dev/null
+++ b/internal/lab/audits/audits.go
@@ -0,0 +1,466 @@
+// Package audits plays roll-outs of configurations over a fleet of real processes under load, with faults in and between them and two
+// builds side by side, and compares what the boxes' audits answer with what the rig and the stand-in have seen.
+package audits
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/lab/actor"
+	"cairnlane/internal/lab/rig"
+	"cairnlane/internal/standin/resource"
+)
+
+// Config is what a trial is played with.
+type Config struct {
+	Seed     uint64
+	Boxes    int
+	Faults   int
+	Span     time.Duration // over which the faults come
+	Kinds    []rig.Kind
+	Schedule rig.Schedule // instead of a drawn one
+	Scripts  []Script
+	Serve    func(box int, config string) *exec.Cmd // boxes may run different builds
+	Old      int                                    // the last so many boxes are of an older build
+	Example  string
+	Dir      string
+	Terms    lease.Terms
+	Election time.Duration
+	Progress io.Writer
+}
+
+// Kinds are the faults that are drawn: all that the rig knows but for nearly all boxes losing their disks, which leaves
+// nothing to compare.
+var Kinds = []rig.Kind{rig.Kill, rig.Empty, rig.OldCopy, rig.Stop, rig.StopAct, rig.Leader, rig.StopLead, rig.Full, rig.Twin, rig.OneWay, rig.Deaf, rig.Isolate, rig.Split, rig.Hold, rig.Slow,
+	rig.Break, rig.Refuse, rig.Flap, rig.Wall, rig.Key, rig.All}
+
+// Script is one roll-out as operators begin it, and what is done to it.
+type Script struct {
+	Name   string
+	Refuse string // boxes that turn it down, by name, or all
+	Needs  uint64
+	Turned int
+	Do     string        // "", "kill" or "stop" its conductor, "abort", "supersede", "two" operators at once
+	Rest   time.Duration // afterwards, so that who is behind is shut out
+	Want   string        // done, returned or superseded; "" when faults decide
+}
+
+// Scripts are those of a trial in full: good ones, bad ones, one that half of the boxes take, and some that something happens to.
+var Scripts = []Script{
+	{Name: "good", Want: "done"},
+	{Name: "the conductor is killed", Do: "kill"},
+	{Name: "turned down by all", Refuse: "all", Want: "returned"},
+	{Name: "the conductor is stopped", Do: "stop"},
+	{Name: "half accepted", Refuse: "n1,n3,n5,n7", Turned: 9, Rest: grace + 7*time.Second},
+	{Name: "brings them up"},
+	{Name: "two operators at once", Do: "two"},
+	{Name: "superseded", Do: "supersede"},
+	{Name: "aborted", Do: "abort"},
+	{Name: "for a later build", Needs: 2},
+	{Name: "good again"},
+}
+
+const (
+	grace    = 5 * time.Second
+	lookEach = 100 * time.Millisecond
+	rollMost = 25 * time.Second // for one roll-out under faults, before the next is begun in its place
+)
+
+// trial is a trial that runs.
+type trial struct {
+	cfg  Config
+	site *rig.Site
+	res  *resource.Resource
+	fig  *Figures
+	rand *rand.Rand
+	from time.Time // at which the stand-in's clock began
+
+	mu      sync.Mutex
+	samples map[int][]sample // by box
+	rises   map[uint64]time.Duration
+	waves   map[uint64]place // of roll-outs, by ID
+	ends    map[uint64]rollout.Roll
+	outs    map[string]rollout.Out
+}
+
+type place struct {
+	index uint64
+	wave  int
+	over  bool
+}
+
+// sample is what a box said at a time of the rig.
+type sample struct {
+	asked, at time.Duration
+	index     uint64
+	inForce   uint64
+}
+
+// Run plays a trial.
+func Run(cfg Config) (*Figures, error) {
+	if cfg.Progress == nil {
+		cfg.Progress = io.Discard
+	}
+	began := time.Now()
+	res, err := resource.Start(actor.Compares)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Close()
+	t := &trial{cfg: cfg, res: res, fig: &Figures{Processes: cfg.Boxes}, rand: rand.New(rand.NewPCG(cfg.Seed, 11)), from: time.Now().Add(-res.Now()),
+		samples: map[int][]sample{}, rises: map[uint64]time.Duration{}, waves: map[uint64]place{}, ends: map[uint64]rollout.Roll{}, outs: map[string]rollout.Out{}}
+	things := []string{"checked-a", "checked-b", "plain", "double"}
+	t.site, err = rig.NewSite(rig.SiteConfig{Seed: cfg.Seed, Dir: cfg.Dir, Boxes: cfg.Boxes, Voters: []int{0, 1, 2}, Terms: cfg.Terms, Election: cfg.Election, Example: cfg.Example,
+		Serve: func(path string) *exec.Cmd { return cfg.Serve(boxOf(cfg.Dir, path), path) }, Load: true, Env: func(box int) []string {
+			return []string{actor.EnvResource + "=" + res.String(), actor.EnvThings + "=" + strings.Join(things, ","), fmt.Sprintf("%s=%d", actor.EnvSeed, cfg.Seed*100+uint64(box))}
+		}})
+	if err != nil {
+		return nil, err
+	}
+	defer t.site.Close()
+	if err := t.site.Start(); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(cfg.Progress, "%d boxes are in\n", cfg.Boxes)
+	stop := make(chan struct{})
+	var looks sync.WaitGroup
+	for _, b := range t.site.Boxes {
+		looks.Go(func() { t.look(b, stop) })
+	}
+	sched := cfg.Schedule
+	if sched == nil {
+		sched = rig.Draw(t.rand, cfg.Kinds, cfg.Faults, cfg.Boxes, cfg.Span)
+	}
+	t.fig.Schedule = sched
+	var played rig.Played
+	var perr error
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		played, perr = t.site.Play(sched, traps{res})
+	}()
+	for _, s := range cfg.Scripts {
+		if err := t.roll(s); err != nil {
+			t.note("%s: %v", s.Name, err)
+		}
+		time.Sleep(s.Rest)
+	}
+	<-faults
+	if perr != nil {
+		return nil, perr
+	}
+	t.fig.Faults, t.fig.Kinds = t.fig.Faults+played.Sum(), len(played)
+	fmt.Fprintf(cfg.Progress, "%d faults of %d kinds, %d effects\n", t.fig.Faults, t.fig.Kinds, len(res.Effects()))
+	if err := t.rest(); err != nil {
+		t.note("%v", err)
+		t.fig.Unsettled++
+	}
+	close(stop)
+	looks.Wait()
+	t.site.Load.End()
+	t.fig.Tally = t.site.Load.Tally
+	t.fig.Notes = append(t.fig.Notes, t.site.Load.Notes()...)
+	if err := t.judge(); err != nil {
+		return nil, err
+	}
+	t.fig.Took = time.Since(began)
+	return t.fig, nil
+}
+
+// boxOf is the number of the box that a configuration is of: a twin's is that of its box.
+func boxOf(dir, path string) (n int) {
+	rel, _ := filepath.Rel(dir, path)
+	fmt.Sscan(strings.Split(rel, string(filepath.Separator))[0], &n)
+	return n
+}
+
+func (t *trial) note(format string, a ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.fig.Notes) < 40 {
+		t.fig.Notes = append(t.fig.Notes, fmt.Sprintf(format, a...))
+	}
+}
+
+func (t *trial) now() time.Duration { return time.Since(t.from) }
+
+// traps finds the moment between check and effect by the stand-in, at things that compare tokens.
+type traps struct{ res *resource.Resource }
+
+// Stop implements rig.Traps.
+func (t traps) Stop(stop func(box string) bool) {
+	t.res.Trap(func(e resource.Effect) bool { return actor.Compares(e.Thing) && stop(e.Box) })
+}
+
+// ask asks a box how roll-outs stand. One that does not answer soon gives an error, and its answer is not waited for.
+func ask(b *rig.Box) (r fleetRollouts, err error) {
+	type answer struct {
+		r   fleetRollouts
+		err error
+	}
+	c := make(chan answer, 1)
+	go func() {
+		r, err := b.Control().Fleet().Rollouts()
+		c <- answer{r, err}
+	}()
+	select {
+	case a := <-c:
+		return a.r, a.err
+	case <-time.After(500 * time.Millisecond):
+		return r, errors.New("no answer")
+	}
+}
+
+// look notes what a box says again and again.
+func (t *trial) look(b *rig.Box, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(lookEach):
+		}
+		asked := t.now()
+		r, err := ask(b)
+		if err != nil {
+			continue
+		}
+		t.mu.Lock()
+		t.samples[b.Index] = append(t.samples[b.Index], sample{asked, t.now(), r.Index, r.InForce})
+		t.seen(r)
+		t.mu.Unlock()
+	}
+}
+
+// seen takes what a box knows of the fleet; t.mu is held.
+func (t *trial) seen(r fleetRollouts) {
+	table := r.Table
+	if _, ok := t.rises[table.Lowest]; !ok {
+		t.rises[table.Lowest] = t.now()
+	}
+	list := table.Past
+	if table.Roll != nil {
+		list = append(list[:len(list):len(list)], *table.Roll)
+	}
+	for _, x := range list {
+		over := x.Phase > rollout.Back
+		p, known := t.waves[x.ID]
+		// Of two tables the one at the later index is the later one: a wave that goes back there was made twice.
+		if known && r.Index > p.index && (x.Wave < p.wave || p.over && !over) {
+			t.fig.StepsTwice++
+		}
+		if !known || r.Index >= p.index {
+			t.waves[x.ID] = place{r.Index, x.Wave, over}
+		}
+		if over {
+			if was, ok := t.ends[x.ID]; ok && was.Phase != x.Phase {
+				t.fig.StepsTwice++
+			}
+			t.ends[x.ID] = x
+		}
+	}
+	for box, o := range table.Out {
+		key := fmt.Sprint(box, o.Index)
+		if _, ok := t.outs[key]; ok {
+			continue
+		}
+		t.outs[key] = o
+		t.fig.ShutOut++
+		if o.InForce >= o.Lowest {
+			t.fig.WronglyShutOut++
+		}
+		living := 0
+		for _, b := range t.site.Boxes {
+			if _, out := table.Out[b.Name]; !out {
+				living++
+			}
+		}
+		if float64(living) < floor*float64(t.cfg.Boxes) {
+			t.fig.WronglyShutOut++
+		}
+	}
+	for _, s := range r.Stragglers {
+		key := fmt.Sprint(s.Box, s.Lowest)
+		if t.fig.behind == nil {
+			t.fig.behind = map[string]string{}
+		}
+		if t.fig.behind[key] == "" {
+			t.fig.behind[key] = s.Box
+			t.fig.Stragglers++
+		}
+	}
+}
+
+const floor = 0.4
+
+// someone asks boxes in turn for something until one does it.
+func (t *trial) someone(most time.Duration, of func(*rig.Box) bool, do func(*rig.Box) error) error {
+	err := errors.New("nobody could be asked")
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(lookEach) {
+		b := t.site.Boxes[t.rand.IntN(len(t.site.Boxes))]
+		if !of(b) {
+			continue
+		}
+		if _, e := ask(b); e != nil { // it would not answer
+			err = e
+			continue
+		}
+		if err = do(b); err == nil || errors.Is(err, errEnough) {
+			return err
+		}
+	}
+	return err
+}
+
+var errEnough = errors.New("it is over")
+
+func (t *trial) late(b *rig.Box) bool { return b.Index < len(t.site.Boxes)-t.cfg.Old }
+func anyone(*rig.Box) bool            { return true }
+
+// put has a configuration be numbered.
+func (t *trial) put(s Script, name string) (n uint64, err error) {
+	var src strings.Builder
+	if s.Needs > 0 {
+		fmt.Fprintf(&src, "needs = %d\n", s.Needs)
+	}
+	fmt.Fprintf(&src, "values = {\n NAME = %q\n", name)
+	if s.Refuse != "" {
+		fmt.Fprintf(&src, " TRIAL_REFUSE = %q\n", s.Refuse)
+	}
+	fmt.Fprintf(&src, "}\nstragglers {\n grace = %q\n floor = %v\n}\n", grace, floor)
+	err = t.someone(20*time.Second, t.late, func(b *rig.Box) error {
+		n, err = b.Control().Fleet().PutConfig([]byte(src.String()))
+		return err
+	})
+	return n, err
+}
+
+var planOf = rollout.Plan{Canaries: 1, Share: 0.35, Pace: 300 * time.Millisecond, Patience: 12 * time.Second, Died: 9, Slots: 3, Supersede: true}
+
+// roll plays a script.
+func (t *trial) roll(s Script) error {
+	plan := planOf
+	plan.Turned = s.Turned
+	n, err := t.put(s, s.Name)
+	if err != nil {
+		return err
+	}
+	var other uint64
+	if s.Do == "two" || s.Do == "supersede" {
+		if other, err = t.put(Script{}, s.Name+", the other one"); err != nil {
+			return err
+		}
+	}
+	if s.Do == "supersede" || s.Do == "abort" || s.Do == "kill" || s.Do == "stop" {
+		plan.Pace = time.Second // there is time to do it
+	}
+	start := func(n uint64, p rollout.Plan) error {
+		return t.someone(20*time.Second, anyone, func(b *rig.Box) error {
+			err := b.Control().Fleet().StartRoll(n, p)
+			if r, e := ask(b); err != nil && e == nil && (r.Table.Roll != nil && r.Table.Roll.To >= n || r.Table.Target >= n) {
+				return nil // it was taken, and only the answer was lost; or another one is further
+			}
+			return err
+		})
+	}
+	var wait sync.WaitGroup
+	if s.Do == "two" { // in the same moment; the fleet takes one, or the later number in the place of the other
+		wait.Go(func() { t.site.Boxes[0].Control().Fleet().StartRoll(other, plan) })
+	}
+	if err := start(n, plan); err != nil {
+		return err
+	}
+	wait.Wait()
+	switch s.Do {
+	case "kill", "stop":
+		t.harm(s.Do)
+	case "abort":
+		t.someone(10*time.Second, anyone, func(b *rig.Box) error { return b.Control().Fleet().ChangeRoll("abort", "a trial") })
+	case "supersede":
+		time.Sleep(500 * time.Millisecond)
+		p := planOf
+		if err := start(other, p); err != nil {
+			return err
+		}
+	}
+	// Until it is over, as any box knows.
+	err = t.someone(rollMost, anyone, func(b *rig.Box) error {
+		r, err := ask(b)
+		if err != nil {
+			return err
+		}
+		if r.Table.Roll != nil || r.Table.Last < n {
+			return errors.New("it goes on")
+		}
+		return nil
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.ends {
+		if x.To == n {
+			fmt.Fprintf(t.cfg.Progress, "%-26s %d: %v %s\n", s.Name, n, x.Phase, x.Why)
+			if s.Want != "" && x.Phase.String() != s.Want && t.cfg.Faults == 0 {
+				t.fig.Notes = append(t.fig.Notes, fmt.Sprintf("%s: %v, not %s", s.Name, x.Phase, s.Want))
+				t.fig.Unsettled++
+			}
+		}
+	}
+	return nil // one that goes on is superseded by the next
+}
+
+// harm kills or stops whoever conducts.
+func (t *trial) harm(what string) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, b := range t.site.Boxes[:3] {
+			if r, err := ask(b); err == nil && r.Conducts {
+				if b.Harm(what == "kill", 3*time.Second) {
+					t.fig.Faults++
+					t.fig.Conductors++
+					return
+				}
+			}
+		}
+	}
+}
+
+// rest rolls a last configuration out to all, with no fault about, and waits until everybody has it in force and nobody is out.
+func (t *trial) rest() error {
+	if err := t.site.Settle(time.Minute); err != nil {
+		return err
+	}
+	n, err := t.put(Script{}, "the last one")
+	if err != nil {
+		return err
+	}
+	plan := planOf
+	plan.Share = 1
+	if err := t.someone(20*time.Second, anyone, func(b *rig.Box) error { return b.Control().Fleet().StartRoll(n, plan) }); err != nil {
+		return err
+	}
+	err = errors.New("nobody was asked")
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(lookEach) {
+		err = nil
+		for _, b := range t.site.Boxes {
+			r, e := ask(b)
+			if e != nil || r.InForce != n || r.Table.Roll != nil || len(r.Table.Out) > 0 || len(r.Stragglers) > 0 || r.Table.Lowest != n {
+				err = fmt.Errorf("the fleet does not come to rest on %d: %s has %d, %v, out %v, stragglers %+v, %v", n, b.Name, r.InForce, r.State, r.Table, r.Stragglers, e)
+			}
+		}
+		if err == nil {
+			break
+		}
+	}
+	if err == nil {
+		time.Sleep(6 * time.Second) // the audits' heads are told each 5 s
+		err = t.site.Settle(30 * time.Second)
+	}
+	return err
+}
--- a/internal/lab/leases/leases.go
+++ b/internal/lab/leases/leases.go
@@ -121,6 +121,11 @@
 	site.Load.End()
 	f.Tally = site.Load.Tally
 	f.Notes = append(f.Notes, site.Load.Notes()...)
+	if f.DoubleRuns > 0 { // when what was done to boxes, to be held against the times above
+		for _, h := range site.History() {
+			f.Notes = append(f.Notes, fmt.Sprintf("%s n%d %s", site.At(h).Format("05.000"), h.Box, h.What))
+		}
+	}
 	f.judge(site, res)
 	f.Took = time.Since(began)
 	return f, nil
--- a/internal/lab/rig/site.go
+++ b/internal/lab/rig/site.go
@@ -52,6 +52,7 @@
 	began   time.Time
 	key     string     // a line of a key file
 	keying  sync.Mutex // one change of the key at a time
+	harms   sync.WaitGroup
 
 	mu      sync.Mutex
 	history []Happening
@@ -185,6 +186,9 @@
 	s.history = append(s.history, Happening{time.Since(s.began), box, fmt.Sprintf(format, args...)})
 }
 
+// At is when something happened, by the machine's clock.
+func (s *Site) At(h Happening) time.Time { return s.began.Add(h.At) }
+
 // History is what the rig did so far.
 func (s *Site) History() []Happening {
 	s.mu.Lock()
@@ -238,6 +242,7 @@
 
 // Settle waits until all boxes are in, agree, and all that are to vote do.
 func (s *Site) Settle(most time.Duration) error {
+	s.harms.Wait()
 	err := until(most, func() error {
 		for _, b := range s.Boxes {
 			st, err := b.Status()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,19 +23,32 @@
 	work func(id string) time.Duration
 
 	mu     sync.Mutex
-	ran    map[string]int // by body
-	ids    map[string]int // by id
+	ran    map[string][]Run // by body
+	ids    map[string]int   // by id
 	onCore int
 	most   int
 }
 
 // New returns an engine whose runs take as long as work says.
 func New(work func(id string) time.Duration) *Engine {
-	return &Engine{work: work, ran: map[string]int{}, ids: map[string]int{}}
+	return &Engine{work: work, ran: map[string][]Run{}, ids: map[string]int{}}
 }
 
 // Ran tells how often the work of a body was begun.
 func (e *Engine) Ran(body string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.ran[body])
+}
+
+// Run is the begin of a body's work.
+type Run struct {
+	At time.Time
+	ID string
+}
+
+// Runs tells when the work of a body was begun, and under which ids.
+func (e *Engine) Runs(body string) []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.ran[body]
@@ -195,7 +208,7 @@
 	}
 	e := a.engine
 	e.mu.Lock()
-	e.ran[body]++
+	e.ran[body] = append(e.ran[body], Run{time.Now(), id})
 	e.ids[id]++
 	e.onCore++
 	e.most = max(e.most, e.onCore)
--- a/internal/state/audit/audit.go
+++ b/internal/state/audit/audit.go
@@ -43,10 +43,11 @@
 	Standing                 // how the box stands to its fleet
 	Gap                      // entries were lost; Count of them
 	End                      // the process ends in order
+	Config                   // a configuration of the fleet was found right, or turned down with Text; its number is in Ref
 	kinds
 )
 
-var kindNames = [kinds]string{"", "head", "start", "version", "effect", "done", "drain", "operator", "standing", "gap", "end"}
+var kindNames = [kinds]string{"", "head", "start", "version", "effect", "done", "drain", "operator", "standing", "gap", "end", "config"}
 
 func (k Kind) String() string {
 	if k > 0 && k < kinds {
@@ -72,7 +73,8 @@
 	Text    string        `cbor:"10,keyasint,omitempty" json:"text,omitempty"`
 	Count   uint64        `cbor:"11,keyasint,omitempty" json:"count,omitempty"`
 	Build   *Build        `cbor:"12,keyasint,omitempty" json:"build,omitempty"`
-	Begin   *Begin        `cbor:"13,keyasint,omitempty" json:"-"` // of Head
+	Under   uint64        `cbor:"14,keyasint,omitempty" json:"under,omitempty"` // of Effect: the number of the fleet's configuration in force
+	Begin   *Begin        `cbor:"13,keyasint,omitempty" json:"-"`               // of Head
 
 	Box   string `cbor:"-" json:"box"`
 	Chain string `cbor:"-" json:"chain"`
@@ -80,10 +82,13 @@
 
 // Build is the version that a box acts as. It changes at one point in time.
 type Build struct {
-	Program  string `cbor:"1,keyasint" json:"program"`  // from the binary's own build information
-	Settings string `cbor:"2,keyasint" json:"settings"` // digest of settings and limits
-	Config   string `cbor:"3,keyasint" json:"config"`   // digest of the box's configuration
-	Messages uint64 `cbor:"4,keyasint" json:"messages"` // version of messages and ledger entries
+	Program  string `cbor:"1,keyasint" json:"program"`                   // from the binary's own build information
+	Settings string `cbor:"2,keyasint" json:"settings"`                  // digest of settings and limits
+	Config   string `cbor:"3,keyasint" json:"config"`                    // digest of the box's configuration
+	Messages uint64 `cbor:"4,keyasint" json:"messages"`                  // version of messages and ledger entries
+	Fleet    uint64 `cbor:"5,keyasint,omitempty" json:"fleet,omitempty"` // number of the fleet's configuration
+	Digest   string `cbor:"6,keyasint,omitempty" json:"fleet_digest,omitempty"`
+	Number   uint64 `cbor:"7,keyasint,omitempty" json:"number,omitempty"` // of the build
 }
 
 // Begin begins a segment.
@@ -102,6 +107,8 @@
 	Chain string `cbor:"1,keyasint" json:"chain"`
 	N     uint64 `cbor:"2,keyasint" json:"n"`
 	Sum   Sum    `cbor:"3,keyasint" json:"-"`
+	Index uint64 `cbor:"4,keyasint,omitempty" json:"index,omitempty"` // of the ledger, at which it was told; 0: not told yet
+	First uint64 `cbor:"5,keyasint,omitempty" json:"first,omitempty"` // from this entry on all must be there; 0: not known
 }
 
 const (
--- a/internal/state/audit/log.go
+++ b/internal/state/audit/log.go
@@ -46,7 +46,12 @@
 	n       uint64 // of the last entry
 	sum     Sum
 	lost    uint64 // entries that the disk refused since
+	index   uint64 // the greatest of the ledger that an entry carries: a box that goes through its ledger anew knows no less than before
 	clean   Mark   // what is on the disk
+	first   struct {
+		path string
+		n    uint64
+	}
 }
 
 // Open takes up the chain in a folder, or begins one. What stands behind its last whole entry was never told to anybody and
@@ -56,7 +61,11 @@
 		return nil, "", fmt.Errorf("audit: %w", err)
 	}
 	l = &Log{dir: dir, box: box, limits: limits, wall: wall, create: func(path string) (File, error) {
-		return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
+		f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		return trialFile(dir, f), nil
 	}}
 	names, err := segments(dir)
 	if err != nil {
@@ -108,13 +117,14 @@
 	if err != nil || e.Begin == nil || e.Begin.Box != l.box {
 		return "a new chain: the last segment cannot be gone on with", nil
 	}
-	l.chain, l.segment, l.n = e.Begin.Chain, e.Begin.Segment, e.N
+	l.chain, l.segment, l.n, l.index = e.Begin.Chain, e.Begin.Segment, e.N, e.Index
 	for {
 		e, after, n, err := readFrame(raw[at:], &sum)
 		if err != nil {
 			break
 		}
 		l.n, sum, at = e.N, after, at+n
+		l.index = max(l.index, e.Index)
 	}
 	l.sum = sum
 	how = "the chain goes on"
@@ -137,6 +147,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.At = l.wall()
+	l.index = max(l.index, e.Index)
+	e.Index = l.index
 	e.Text = e.Text[:min(len(e.Text), textMost)]
 	if l.lost > 0 {
 		gap := Entry{Kind: Gap, Count: l.lost, At: e.At, Index: e.Index}
@@ -182,7 +194,7 @@
 		if err := l.file.Sync(); err != nil {
 			return fmt.Errorf("audit: %w", err)
 		}
-		l.clean = Mark{l.chain, l.n, l.sum}
+		l.clean = Mark{Chain: l.chain, N: l.n, Sum: l.sum}
 		l.file.Close()
 		l.file = nil
 	}
@@ -193,7 +205,7 @@
 		return fmt.Errorf("audit: %w", err)
 	}
 	l.segment = segment
-	head := &Entry{Kind: Head, N: l.n, At: l.wall(), Begin: &Begin{Box: l.box, Chain: l.chain, Segment: segment, Before: slices.Clone(l.sum[:])}}
+	head := &Entry{Kind: Head, N: l.n, At: l.wall(), Begin: &Begin{Box: l.box, Chain: l.chain, Segment: segment, Before: slices.Clone(l.sum[:])}, Index: l.index}
 	raw, after, err := appendFrame(nil, l.sum, head)
 	if err == nil {
 		_, err = f.Write(raw)
@@ -237,6 +249,47 @@
 	}
 }
 
+// keeps is the number of an entry from which on all will still be there when two more segments have been made; l.mu is held. It is what
+// the ledger is told: before the bound takes a segment away, the ledger knows that it may be gone.
+func (l *Log) keeps() uint64 {
+	names, err := segments(l.dir)
+	if err != nil {
+		return 0
+	}
+	sum := int64(0)
+	for _, name := range names {
+		if info, err := os.Stat(filepath.Join(l.dir, name)); err == nil {
+			sum += info.Size()
+		}
+	}
+	for _, name := range names {
+		path := filepath.Join(l.dir, name)
+		if info, err := os.Stat(path); err == nil && sum+2*l.limits.Segment > l.limits.Folder && sum > info.Size() {
+			sum -= info.Size()
+			continue
+		}
+		if !strings.HasPrefix(name, l.chain) {
+			continue // of an earlier chain, which has marks of its own
+		}
+		if path == l.first.path {
+			return l.first.n
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			return 0
+		}
+		raw := make([]byte, frameHead+512) // a head is smaller
+		n, _ := io.ReadFull(f, raw)
+		f.Close()
+		if e, _, _, err := readFrame(raw[:n], nil); err == nil {
+			l.first.path, l.first.n = path, e.N+1
+			return l.first.n
+		}
+		return 0
+	}
+	return 0
+}
+
 // Sync has all that was written on the disk, and returns the mark that may be told.
 func (l *Log) Sync() (Mark, error) {
 	l.mu.Lock()
@@ -249,7 +302,7 @@
 		l.file = nil
 		return l.clean, fmt.Errorf("audit: %w", err)
 	}
-	l.clean = Mark{l.chain, l.n, l.sum}
+	l.clean = Mark{Chain: l.chain, N: l.n, Sum: l.sum, First: l.keeps()}
 	return l.clean, nil
 }
 
--- a/internal/state/audit/verify.go
+++ b/internal/state/audit/verify.go
@@ -132,8 +132,15 @@
 // chain that was rewritten from some entry on, a folder that was put back. Marks of what was removed by the bound prove nothing
 // and are counted as old.
 func (b *Book) Against(marks []Mark) (proven, old int) {
+	last := map[string]Mark{}
+	for _, m := range marks {
+		last[m.Chain] = m
+	}
 	for _, m := range marks {
 		points := b.marks[m.Chain]
+		if m == last[m.Chain] && m.First > 0 && len(points) > 0 && points[0].n >= m.First { // the first point is the entry before
+			b.fault(Fault{Chain: m.Chain, N: points[0].n, What: fmt.Sprintf("the begin is missing: the box was to keep entry %d and all after it", m.First)})
+		}
 		if len(points) == 0 {
 			b.fault(Fault{Chain: m.Chain, N: m.N, What: fmt.Sprintf("the chain is missing; the ledger knows %d entries of it", m.N)})
 			continue
