Let a box that stands still hold up its own router's requests alone

Cause: all routers of a load shared 48 places for open requests (rig/load.go, Load.slots). A box that is stopped for 27 s (28.377s stop 2 4 27s) keeps those of its router, until all 48 are its; every other router then waits with its next try of a key for longer than the 9,618 ms for which a replica keeps it, and the box runs it again by right. It shows in the load as well: 37,966 requests of 143 s. Ruled out: kills and stops of box 0 (the excuse covers them), twins (two engine links, one id), the jump of a wall clock (no process is started during one). The program is not at fault.

Change: a router has places of its own, and a try that had to wait for half of the window is not sent.

--- a/internal/lab/rig/load.go
+++ b/internal/lab/rig/load.go
@@ -26,8 +26,8 @@
 
 	Tally
 	txns   atomic.Uint64
-	bodies sync.Map // of keyed requests: *keyed
-	slots  chan struct{}
+	bodies sync.Map        // of keyed requests: *keyed
+	slots  []chan struct{} // by router: a replica that stands still holds up no other one's requests
 	stop   atomic.Bool
 	wait   sync.WaitGroup
 	mu     sync.Mutex
@@ -46,12 +46,22 @@
 // answerRest is the slack of the rules on sockets.
 const answerRest = 110 * time.Millisecond
 
-const openMost = 48
+const (
+	openMost = 48 // requests at a time, of a router or, if spread, of four
+	// repeatMost is how long after the first try of a key a further one is sent, at the most: half of the time for which the rules
+	// have a replica keep the key. One that had to wait for longer is not sent.
+	repeatMost = 4800 * time.Millisecond
+)
 
 // Begin starts it.
 func (l *Load) Begin() {
-	l.slots = make(chan struct{}, openMost*max(1, len(l.Routers)/4))
+	shared := make(chan struct{}, openMost*max(1, len(l.Routers)/4))
 	for i, r := range l.Routers {
+		slots := shared
+		if !l.Spread {
+			slots = make(chan struct{}, openMost)
+		}
+		l.slots = append(l.slots, slots)
 		r.Number = i
 		r.Twice = func(seq int32) {
 			atomic.AddInt64(&l.EndedTwice, 1)
@@ -136,7 +146,11 @@
 
 func (l *Load) try(to int, q router.Request, first time.Time, open *sync.WaitGroup) {
 	q.Txn = fmt.Sprintf("%016x", l.txns.Add(1))
-	l.slots <- struct{}{}
+	l.slots[to] <- struct{}{}
+	if q.Retry && time.Since(first) > repeatMost {
+		<-l.slots[to]
+		return
+	}
 	open.Add(1)
 	atomic.AddInt64(&l.Requests, 1)
 	if q.Retry {
@@ -150,7 +164,7 @@
 			return
 		}
 		l.judge(to, q, o, began, first)
-		<-l.slots
+		<-l.slots[to]
 		open.Done()
 	})
 }
