Look at roll-outs when the ledger or the time says so, not at each message

Need: seen on reading: a node went over all boxes for its roll-out at every message, and the busiest voter of 1,000 takes 9,000 a second; sorting 1,000 names for the judge of stragglers takes some 100 us. Change: what is decided follows from the ledger's index and from when something is due; a body that has come pokes the node.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,7 +197,7 @@
 		f.node.Receive(now, r.from, r.m)
 	case f.versions != nil:
 		f.versions.heard(now, r.from, *r.body)
-		f.node.Tick(now)
+		f.node.Poke(now)
 	}
 }
 
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"cairnlane/internal/decide/lease"
@@ -38,6 +37,11 @@
 	retry     time.Duration
 	session   uint64 // in which step was said
 	step      uint64 // the conductor's last command: nothing is said before it is known what came of it
+
+	// What is decided here follows from the ledger and the time, and looks at every box: it is looked at again when either says so, not
+	// at each message.
+	index uint64
+	due   time.Duration
 }
 
 // retryEach is between two tries of what the disk or the fleet refused.
@@ -49,6 +53,27 @@
 	if t == nil || n.cfg.Configs == nil {
 		return
 	}
+	c := &n.changes
+	if index := n.ledger.State().Index; index == c.index && now < c.due {
+		n.next = min(n.next, c.due)
+		return
+	} else {
+		c.index = index
+	}
+	next := n.next
+	n.next = now + time.Minute
+	n.decide(now, t)
+	c.due = n.next
+	n.next = min(n.next, next)
+}
+
+// Poke has the node look at roll-outs again: the body of a configuration has come.
+func (n *Node) Poke(now time.Duration) {
+	n.changes.due = 0
+	n.turn(now)
+}
+
+func (n *Node) decide(now time.Duration, t *rollout.Table) {
 	if at := n.cfg.Since; at.Fleet != n.ledger.State().Fleet || at.Index <= n.ledger.State().Index {
 		n.follow(now, t)
 	}
@@ -268,11 +293,5 @@
 		}
 		list = append(list, x)
 	}
-	slices.SortFunc(list, func(a, b Straggler) int {
-		if a.Box < b.Box {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return list // members come by name
 }
--- a/internal/lab/fleetsim/rollouts.go
+++ b/internal/lab/fleetsim/rollouts.go
@@ -28,7 +28,7 @@
 func (c *copies) Fetch(digest string, _ int) {
 	life, i := c.b.life, c.w.index(c.b.name)
 	c.w.at(time.Duration(c.b.rand.IntN(400))*time.Millisecond, func() {
-		c.w.run(i, life, func() { c.has[digest] = true; c.b.node.Tick(c.b.clock(c.w)) })
+		c.w.run(i, life, func() { c.has[digest] = true; c.b.node.Poke(c.b.clock(c.w)) })
 	})
 }
 
