--- /dev/null
+++ b/internal/decide/probes/probes_test.go
@@ -0,0 +1,141 @@
+package probes
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestAFleetAsksWithTheRootOfItsSize, and never less often than a page allows.
+func TestAFleetAsksWithTheRootOfItsSize(t *testing.T) {
+	const base = time.Second
+	for _, n := range []int{1, 4, 100, 1000} {
+		every := Every(base, n, 0)
+		if rate := float64(n) / every.Seconds(); math.Abs(rate-math.Sqrt(float64(n))) > 1e-6 {
+			t.Errorf("%d boxes ask %v times a second", n, rate)
+		}
+		if got := Every(base, n, 3*time.Second); got > 3*time.Second || got < base {
+			t.Errorf("%d boxes: each asks after %v", n, got)
+		}
+	}
+	if Every(base, 0, 0) != base || Every(base, -5, 0) != base {
+		t.Error("no fleet at all is not as one box")
+	}
+}
+
+// TestBoxesThatStartTogetherAskApart: by their places, evenly over a period.
+func TestBoxesThatStartTogetherAskApart(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var slots [10]int
+	for range 10000 {
+		at := First(time.Hour, time.Minute, r.Float64()) - time.Hour
+		if at < 0 || at > time.Minute {
+			t.Fatal(at)
+		}
+		slots[min(9, int(at/(6*time.Second)))]++
+	}
+	for i, n := range slots {
+		if n < 800 || n > 1200 {
+			t.Errorf("%d of 10000 ask in tenth %d", n, i)
+		}
+	}
+}
+
+// TestReturnsAreSpreadByWhatTheOtherSideBears: of n boxes that come back, no second sees more than about what it takes.
+func TestReturnsAreSpreadByWhatTheOtherSideBears(t *testing.T) {
+	r := Return{Least: 50 * time.Millisecond, Most: 5 * time.Second, Each: 10 * time.Millisecond}
+	for _, n := range []int{1, 10, 100, 1000} {
+		src := rand.New(rand.NewPCG(3, uint64(n)))
+		seconds := map[int]int{}
+		for range n {
+			seconds[int(r.Next(0, n, src.Float64())/time.Second)]++
+		}
+		for s, k := range seconds {
+			if k > 150 {
+				t.Errorf("%d boxes: %d come back in second %d; 100 can be taken", n, k, s)
+			}
+		}
+	}
+	for try, most := range map[int]time.Duration{0: 50 * time.Millisecond, 3: 400 * time.Millisecond, 20: 5 * time.Second, 90: 5 * time.Second} {
+		if got := r.Next(try, 1, 1); got != most {
+			t.Errorf("try %d waits up to %v, not %v", try, got, most)
+		}
+	}
+}
+
+// TestOneReadingTakesNothingOut: rows of opinions by box and second, and what counts after each.
+func TestOneReadingTakesNothingOut(t *testing.T) {
+	type at struct {
+		sec  int
+		box  string // "" for none
+		up   bool
+		want Verdict
+	}
+	for name, steps := range map[string][]at{
+		"up":                       {{0, "", false, Unknown}, {1, "a", true, Up}, {20, "", false, Unknown}},
+		"one finds it down":        {{1, "a", true, Up}, {2, "b", false, Doubtful}, {4, "b", false, Doubtful}, {13, "", false, Doubtful}, {15, "", false, Unknown}},
+		"two do":                   {{1, "a", false, Doubtful}, {2, "b", false, Down}},
+		"one box twice":            {{1, "a", false, Doubtful}, {2, "a", false, Doubtful}, {3, "a", false, Doubtful}},
+		"it was another one's way": {{1, "a", false, Doubtful}, {2, "b", true, Up}, {3, "a", false, Doubtful}, {4, "c", false, Down}, {5, "b", true, Up}},
+		"too long ago":             {{1, "a", false, Doubtful}, {12, "b", false, Doubtful}},
+	} {
+		j := Judge{Age: 10 * time.Second}
+		for _, s := range steps {
+			now := time.Duration(s.sec) * time.Second
+			if s.box != "" {
+				j.Heard(Opinion{s.box, s.up, now})
+			}
+			if got := j.Verdict(now); got != s.want {
+				t.Errorf("%s: at %d s %v, not %v", name, s.sec, got, s.want)
+			}
+		}
+	}
+}
+
+// TestAFleetIsNeitherBlindNorLoud plays a fleet whose prober dies at times: nobody is without an answer for long, and all together ask little.
+func TestAFleetIsNeitherBlindNorLoud(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "boxes")
+		const every, age = time.Second, 5 * time.Second
+		judges := make([]Judge, n)
+		last := make([]time.Duration, n)
+		blind := make([]time.Duration, n)
+		asked, prober, up := 0, 0, true
+		steps := 600
+		for i := range judges {
+			judges[i].Age = age
+		}
+		for k := 1; k <= steps; k++ {
+			now := time.Duration(k) * 100 * time.Millisecond
+			if k%50 == 0 {
+				prober = rapid.IntRange(-1, n-1).Draw(t, "prober") // -1: there is none
+				up = rapid.Bool().Draw(t, "up")
+			}
+			for i := range judges {
+				if judges[i].Asks(now, fmt.Sprint(i), i == prober, last[i], every) {
+					asked++
+					last[i] = now
+					for j := range judges {
+						judges[j].Heard(Opinion{fmt.Sprint(i), up, now})
+					}
+				}
+				if judges[i].Verdict(now) == Unknown {
+					blind[i] += 100 * time.Millisecond
+				} else {
+					blind[i] = 0
+				}
+				if blind[i] > 2*age {
+					t.Fatalf("box %d has known nothing for %v", i, blind[i])
+				}
+			}
+		}
+		// The prober each second, a second opinion when it finds something down, and one box where there is no prober.
+		if most := 2*steps/10 + 2*n; asked > most {
+			t.Fatalf("%d boxes asked %d times in a minute", n, asked)
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/shed/shed.go
@@ -0,0 +1,177 @@
+// Package shed decides what a box sheds as one of a fleet: from sums over the fleet that every box has about the same to numbers that
+// its own module takes as advice. No box asks another: the rule is the same everywhere and works on what was offered, not on what was let
+// in, so what all boxes shed adds up to the excess and nobody makes up for it twice.
+//
+// What it rests on. Sums are some hundred milliseconds old and differ between boxes by what was lost on the way. Every rule is
+// therefore a share and not a turn: two boxes with sums that differ by 5% shed shares that differ by about as much. With sums that are old,
+// or of too few boxes, the advice fades to none, and the box does what a lone one does (Trust).
+package shed
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Sums are what a box knows of the whole fleet, itself included. Rates are in requests a second.
+type Sums struct {
+	Boxes    int                // with a fresh summary
+	Known    int                // boxes that there are, the dead excepted
+	Age      time.Duration      // of the oldest summary that counts
+	Capacity float64            // that can be served
+	Free     float64            // of the capacity, at boxes other than this one
+	First    float64            // first tries that come
+	Further  float64            // further tries that come
+	Classes  []float64          // offered by class, the least worth first
+	Tenants  map[string]float64 // offered by tenant
+}
+
+// Advice is what the module may take from the fleet. The zero value is none: the box is as if it were alone.
+type Advice struct {
+	Trust   float64            // 0 to 1: how much of what follows counts already
+	Tenants map[string]float64 // the chance at which a tenant's request is beyond its share, where it is above 0
+	Level   int                // classes below this place in the order of worth are shed at read
+	Further float64            // the chance at which a further try is refused at read
+	GiveUp  bool               // no other box could serve it
+	Later   [2]time.Duration   // between these a refused caller is asked to come back, at a place drawn evenly
+}
+
+// The stated rules.
+const (
+	budget      = 0.10 // further tries over first ones that the fleet takes
+	fullFrom    = 0.95 // of the capacity: from here on tenants are held to their shares
+	enterAbove  = 1.05 // of the capacity, offered by what is not shed yet: one class more is shed, once it was so for enterFor
+	exitBelow   = 0.85 // of the capacity, offered by what is not shed and the class that is let in again, for exitFor
+	enterFor    = 2 * time.Second
+	exitFor     = 30 * time.Second // longer than the waves of 15 to 30 s in which boxes slow and recover
+	changeEach  = 10 * time.Second
+	noFree      = 0.02 // of the capacity: less than this free elsewhere is nobody's to give
+	staleAfter  = time.Second
+	forgotAfter = 3 * time.Second
+	leastKnown  = 0.5 // share of the boxes that must be heard for full trust; below half of it there is none
+)
+
+// Trust says how much sums count: 1 while they are fresh and of enough boxes, 0 when they are old or of few, evenly between.
+func Trust(s Sums) float64 {
+	if s.Known < 2 || s.Boxes < 2 || s.Capacity <= 0 {
+		return 0
+	}
+	age := 1 - float64(s.Age-staleAfter)/float64(forgotAfter-staleAfter)
+	heard := 2*float64(s.Boxes)/(leastKnown*2*float64(s.Known)) - 1
+	return max(0, min(1, age, heard))
+}
+
+// Shares divides a capacity over what tenants offer so that nobody gets more than it asks for, and of those who do not get all of it each
+// gets the same (max-min fairness, Bertsekas and Gallager, Data Networks, 6.5).
+func Shares(offered map[string]float64, capacity float64) map[string]float64 {
+	names := slices.SortedFunc(maps.Keys(offered), func(a, b string) int { return cmp.Or(cmp.Compare(offered[a], offered[b]), cmp.Compare(a, b)) })
+	got := make(map[string]float64, len(names))
+	for i, n := range names {
+		got[n] = min(offered[n], max(0, capacity)/float64(len(names)-i))
+		capacity -= got[n]
+	}
+	return got
+}
+
+// Shedder is one box's. Its clock is the box's own. It is not safe for use by several goroutines.
+type Shedder struct {
+	level   int
+	changed time.Duration // when the level did; 0: never
+	above   time.Duration // since when too much was offered; 0: it is not
+	below   time.Duration // since when there was room; 0: there is not
+}
+
+// Level is the present one.
+func (s *Shedder) Level() int { return s.level }
+
+// Advise says what this box is to do by sums. later bounds what a refused caller may be told.
+func (s *Shedder) Advise(now time.Duration, v Sums, later time.Duration) Advice {
+	a := Advice{Trust: Trust(v)}
+	s.turn(now, v, a.Trust)
+	a.Level = s.level
+	if a.Trust == 0 {
+		return Advice{Level: s.level}
+	}
+	if offered := sum(v.Tenants); offered > fullFrom*v.Capacity {
+		shares := Shares(v.Tenants, fullFrom*v.Capacity)
+		for name, o := range v.Tenants {
+			if o > shares[name] {
+				if a.Tenants == nil {
+					a.Tenants = map[string]float64{}
+				}
+				a.Tenants[name] = a.Trust * (1 - shares[name]/o)
+			}
+		}
+	}
+	if v.Further > budget*v.First {
+		a.Further = a.Trust * (1 - budget*v.First/v.Further)
+	}
+	a.GiveUp = a.Trust == 1 && v.Free < noFree*v.Capacity
+	a.Later = spread(v, later)
+	return a
+}
+
+// turn moves the level, one step at a time. With sums that do not count it goes down as if nothing were offered: a box that is alone for
+// long sheds by itself.
+func (s *Shedder) turn(now time.Duration, v Sums, trust float64) {
+	use := func(level int) float64 {
+		if trust == 0 {
+			return 0
+		}
+		n := 0.0
+		for _, o := range v.Classes[min(level, len(v.Classes)):] {
+			n += o
+		}
+		return n / v.Capacity
+	}
+	mark := func(on bool, since *time.Duration) {
+		switch {
+		case !on:
+			*since = 0
+		case *since == 0:
+			*since = max(now, 1)
+		}
+	}
+	mark(s.level < len(v.Classes)-1 && use(s.level) > enterAbove, &s.above)
+	mark(s.level > 0 && use(s.level-1) < exitBelow, &s.below)
+	if s.changed != 0 && now-s.changed < changeEach {
+		return
+	}
+	switch {
+	case s.above != 0 && now-s.above >= enterFor:
+		s.level++
+	case s.below != 0 && now-s.below >= exitFor:
+		s.level--
+	default:
+		return
+	}
+	s.changed, s.above, s.below = max(now, 1), 0, 0
+}
+
+// spread says over which time refused callers are to come back: as long as it takes to serve those that are refused in a second with what
+// is free or, where nothing is, as long as may be said. All at once they would be refused again.
+func spread(v Sums, most time.Duration) [2]time.Duration {
+	excess := v.First + v.Further - v.Capacity
+	if excess <= 0 {
+		return [2]time.Duration{0, min(most, time.Second)}
+	}
+	over := most.Seconds()
+	if v.Free > 0 {
+		over = min(over, excess/v.Free)
+	}
+	return [2]time.Duration{min(most, time.Second) / 4, max(min(most, time.Second), time.Duration(over*float64(time.Second)))}
+}
+
+func sum(m map[string]float64) (n float64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// Place draws when a caller is asked to come back, from a number evenly between 0 and 1.
+func (a Advice) Place(u float64) time.Duration {
+	return a.Later[0] + time.Duration(math.Max(0, math.Min(1, u))*float64(a.Later[1]-a.Later[0]))
+}
