Ask a box that is behind to stop what it does for the fleet, and say why it may not begin

Need: seen on reading: a box that is below the lowest number kept the leases that it held, and began nothing under them; and 'cairnctl fleet run' said 'was not obtained: held' without a reason. Change: its leases are asked to stop, as by an operator, so that others get them; the desk says why nothing may be begun. Test: TestABoxThatIsBehindBeginsNothing, with a box that turns down what the fleet has.

--- a/internal/fleet/desk.go
+++ b/internal/fleet/desk.go
@@ -133,6 +133,8 @@
 	s := RunStatus{ID: id, Task: ask.Task, State: ask.State, Word: ask.State.String(), Token: ask.Token, Left: left, Place: ask.Place, Stop: ask.Stop}
 	if ask.Why != nil {
 		s.Why = ask.Why.Error()
+	} else if held := ask.State == lease.Held || ask.State == lease.Renewing; held && left == 0 {
+		s.Why = r.task.why()
 	}
 	return s, nil
 }
--- a/internal/fleet/rollouts_test.go
+++ b/internal/fleet/rollouts_test.go
@@ -113,15 +113,18 @@
 		t.Fatal(err)
 	}
 	k := a.acquire(t, "task")
+	a.wrong.Store(true)
 	a.Fleet.mu.Lock()
 	table := a.node.ledger.State().Rollout
-	table.Target, table.Lowest = 1, 1 // the fleet went on while this box could not store it
+	table.Target, table.Lowest = 1, 1 // the fleet went on, and this box turns it down
+	a.node.changes.due = 0
+	a.node.change(a.now())
 	err := a.node.May(a.now(), k.ask, 0)
 	stands := a.node.Stands()
 	list := a.node.Stragglers(a.now())
 	table.Target, table.Lowest = 0, 0
 	a.Fleet.mu.Unlock()
-	if !errors.Is(err, ErrBehind) || stands.MayBegin() || len(list) != 1 || list[0].Box != "a" {
+	if !errors.Is(err, ErrBehind) || stands.MayBegin() || !k.ask.Stop || len(list) != 1 || list[0].Box != "a" {
 		t.Errorf("%v, %v, %+v", err, stands, list)
 	}
 }
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -101,6 +101,16 @@
 	return *t.ask, left, t.f.changed
 }
 
+// why says why nothing may be begun under a slot that is held.
+func (t *Task) why() string {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	if err := t.f.node.May(t.f.cfg.Now(), t.ask, 0); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
 // Act makes one effect under the lease, or none. The permit is checked immediately before: the effect is begun only if need,
 // the longest that it can take, ends before the lease can be another's. An effect that takes longer is counted
 // (fleet_effects_over_time) and breaks what is promised.
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -78,6 +78,11 @@
 		n.follow(now, t)
 	}
 	n.conduct(now, t)
+	if n.Stands() != straggler.Level { // it begins nothing until it is up to date: what it holds is better given to others
+		for _, a := range n.holder.Asks() {
+			a.Stop = true
+		}
+	}
 	if !n.ledger.Leads(now) {
 		n.changes.judge.Forget()
 		return
