--- a/internal/fleet/ledger/state_test.go
+++ b/internal/fleet/ledger/state_test.go
@@ -69,3 +69,17 @@
 		t.Errorf("voters %v, and before %v", n.Voters, s.Voters)
 	}
 }
+
+// TestAnEntrySaysTheLeastVersionThatItNeeds, so that older builds go along until something is said that they do not know.
+func TestAnEntrySaysTheLeastVersionThatItNeeds(t *testing.T) {
+	if v := versionOf([]lease.Command{{Kind: lease.Renew}, {Kind: lease.Report}}); v != 1 {
+		t.Errorf("what builds of version 1 know needs %d", v)
+	}
+	if v := versionOf([]lease.Command{{Kind: lease.Renew}, {Kind: lease.Carry}}); v != 2 {
+		t.Errorf("a roll-out needs %d", v)
+	}
+	s := sample(t)
+	if again, err := Decode(s.Encode()); err != nil || again.Version != 1 || again.Rollout != nil {
+		t.Errorf("a state without roll-outs is of version %d: %v", again.Version, err)
+	}
+}
