--- /dev/null
+++ b/internal/fleet/view/exchange_test.go
@@ -0,0 +1,147 @@
+package view
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"cairnlane/internal/decide/shed"
+)
+
+// net is a small fleet in virtual time: what boxes say arrives at the next step, unless one of the two is cut off.
+type net struct {
+	now    time.Duration
+	names  []string
+	relays []string
+	boxes  map[string]*Exchange
+	cut    map[string]bool
+	wire   []struct {
+		from string
+		Out
+	}
+	said map[string]int
+	out  map[string]bool // shut out
+}
+
+func newNet(n, relays int) *net {
+	w := &net{boxes: map[string]*Exchange{}, cut: map[string]bool{}, said: map[string]int{}, out: map[string]bool{}}
+	for i := range n {
+		name := fmt.Sprintf("box%03d", i)
+		w.names = append(w.names, name)
+		w.boxes[name] = new(Exchange)
+		if i < relays {
+			w.relays = append(w.relays, name)
+		}
+	}
+	return w
+}
+
+func (w *net) place(box string) Place {
+	return Place{Self: box, Session: 1, Relays: w.relays, Known: len(w.names) - len(w.out), Member: func(b string) bool { return !w.out[b] }}
+}
+
+func (w *net) run(span time.Duration) {
+	for end := w.now + span; w.now < end; {
+		w.now += Each
+		wire := w.wire
+		w.wire = nil
+		for _, m := range wire {
+			if !w.cut[m.from] && !w.cut[m.To] {
+				w.boxes[m.To].Take(w.now, m.from, m.Message, w.place(m.To))
+			}
+		}
+		for _, b := range w.names {
+			for _, o := range w.boxes[b].Tick(w.now, w.place(b), Summary{Capacity: 100, Running: 80, First: 70, Further: 10, Classes: []float64{40, 40}, Tenants: map[string]float64{"t": 80}}) {
+				w.said[b]++
+				w.wire = append(w.wire, struct {
+					from string
+					Out
+				}{b, o})
+			}
+		}
+	}
+}
+
+func (w *net) sums(box string) shed.Sums { return w.boxes[box].Sums(w.now, w.place(box)) }
+
+// TestAllBoxesComeToTheSameSums, with few messages each whatever the size.
+func TestAllBoxesComeToTheSameSums(t *testing.T) {
+	for _, n := range []int{3, 10, 300} {
+		w := newNet(n, 3)
+		w.run(5 * time.Second)
+		clear(w.said)
+		w.run(10 * time.Second)
+		for i, b := range w.names {
+			s := w.sums(b)
+			if math.Abs(s.Capacity-float64(100*n)) > 1 || s.Boxes != n || math.Abs(s.First-float64(70*n)) > 1 || math.Abs(s.Free-float64(20*(n-1))) > 1 || math.Abs(s.Tenants["t"]-float64(80*n)) > 1 || shed.Trust(s) != 1 {
+				t.Fatalf("%d boxes: %s has %+v", n, b, s)
+			}
+			most := 4.0
+			if i < 3 {
+				most = 4 * (2 + float64(n)*0.6)
+			}
+			if rate := float64(w.said[b]) / 10; rate > most {
+				t.Errorf("%d boxes: %s says %v messages a second", n, b, rate)
+			}
+		}
+	}
+}
+
+// TestARelayThatIsGoneIsReplaced, a box that is cut off trusts nothing, and one that is shut out counts no more.
+func TestARelayThatIsGoneIsReplaced(t *testing.T) {
+	w := newNet(20, 3)
+	w.run(5 * time.Second)
+	w.cut["box000"], w.cut["box019"] = true, true
+	w.run(8 * time.Second)
+	for _, b := range w.names {
+		s := w.sums(b)
+		if w.cut[b] {
+			if b == "box019" && shed.Trust(s) != 0 {
+				t.Errorf("%s hears nobody and trusts %+v", b, s)
+			}
+			continue
+		}
+		if s.Boxes != 18 || math.Abs(s.Capacity-1800) > 1 || shed.Trust(s) == 0 {
+			t.Errorf("%s has %+v", b, s)
+		}
+	}
+	clear(w.cut)
+	w.out["box010"] = true
+	w.run(8 * time.Second)
+	for _, b := range w.names {
+		if s := w.sums(b); b != "box010" && (s.Boxes != 19 || math.Abs(s.Capacity-1900) > 1 || shed.Trust(s) != 1) {
+			t.Errorf("%s has %+v after all came back and one is shut out", b, s)
+		}
+	}
+}
+
+// TestWhatARelayMayNotSay, and who is none.
+func TestWhatARelayMayNotSay(t *testing.T) {
+	x := new(Exchange)
+	p := Place{Self: "z", Session: 1, Relays: []string{"a"}, Known: 3, Member: func(b string) bool { return b != "out" }}
+	good := &shed.Sums{Boxes: 3, Capacity: 300}
+	for name, c := range map[string]struct {
+		from string
+		m    Message
+		want bool
+	}{
+		"its relay":          {"a", Message{All: good, Session: 2, Seq: 1}, true},
+		"no relay":           {"b", Message{All: good, Session: 2, Seq: 9}, false},
+		"shut out":           {"out", Message{All: good, Session: 2, Seq: 9}, false},
+		"below 0":            {"a", Message{All: &shed.Sums{Capacity: -1}, Session: 2, Seq: 9}, false},
+		"more than there be": {"a", Message{All: &shed.Sums{Boxes: BoxesMost + 1}, Session: 2, Seq: 9}, false},
+		"a summary":          {"b", Message{Summary: &Summary{Session: 1, Seq: 1}}, false}, // this box relays for nobody
+		"a part":             {"b", Message{Part: good, Session: 2, Seq: 9}, false},
+		"nothing":            {"a", Message{}, false},
+	} {
+		y := *x
+		if got := y.Take(time.Second, c.from, c.m, p); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	x.Take(time.Second, "a", Message{All: good, Session: 2, Seq: 5}, p)
+	if x.Take(time.Second, "a", Message{All: good, Session: 2, Seq: 5}, p) {
+		t.Error("a message that comes twice counts")
+	}
+}
