Have boxes of a fleet know the load of all, and show what its rules would shed

The exchange was there without I/O alone. Change: a fourth kind of messages on the links; each box measures what it serves and can serve from counters that are there, so a request pays nothing; cairnctl fleet load shows sums, trust and advice. The advice is taken by nobody yet.

--- a/cmd/cairnctl/fleet.go
+++ b/cmd/cairnctl/fleet.go
@@ -72,6 +72,7 @@
 			Why string `arg:"" optional:"" help:"For those who look."`
 		} `cmd:"" help:"Have all boxes go back to what is in force."`
 	} `cmd:"" help:"Roll-outs of configurations."`
+	Load       struct{} `cmd:"" help:"How the fleet is loaded as this box knows it, and what the fleet's rules would have it shed. Nothing is shed by them yet."`
 	Stragglers struct{} `cmd:"" help:"The boxes that are behind, and what is to be done; exit code 1 when there are any."`
 	Lowest     struct {
 		N uint64 `arg:"" help:"Number: the one in force, or an older one."`
@@ -155,6 +156,14 @@
 		return o.config(w, strings.Fields(name)[1], c)
 	case "rollout":
 		return o.rollout(w, strings.Fields(name)[1], c)
+	case "load":
+		s, err := c.Load()
+		return o.show(w, s, err, func(t io.Writer) {
+			v, a := s.Fleet, s.Advice
+			fmt.Fprintf(t, "boxes heard\t%d of %d, %v ago\ncapacity\t%.0f a second, %.0f free elsewhere\nfirst tries\t%.0f a second\nfurther tries\t%.0f a second\nthis box\t%.0f of %.0f a second, %.0f running\n",
+				v.Boxes, v.Known, v.Age.Round(time.Millisecond), v.Capacity, v.Free, v.First, v.Further, s.Own.First+s.Own.Further, s.Own.Capacity, s.Own.Running)
+			fmt.Fprintf(t, "trust\t%.2f\nlevel\t%d %s\nfurther tries refused\t%.0f%%\ngive up\t%v\nlater\t%v to %v\n", a.Trust, a.Level, s.Since, 100*a.Further, a.GiveUp, a.Later[0].Round(time.Millisecond), a.Later[1].Round(time.Millisecond))
+		})
 	case "stragglers":
 		return o.stragglers(w, c)
 	case "lowest":
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -1,6 +1,7 @@
 package appliance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,8 +26,10 @@
 	"cairnlane/internal/faultfs"
 	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/ledger"
+	"cairnlane/internal/fleet/view"
 	"cairnlane/internal/front"
 	"cairnlane/internal/operator"
+	"cairnlane/internal/replica"
 	"cairnlane/internal/state/audit"
 	"cairnlane/internal/state/configs"
 )
@@ -129,6 +132,7 @@
 	}
 	served, refused, failed := set.Get("answers_served"), set.Get("answers_refused"), set.Get("answers_failed")
 	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(), Number: Number(), Configs: store, Check: f.checkNumbered,
+		Load:   f.totals(set),
 		Served: func() (good, bad uint64) { return uint64(served.Load()), uint64(refused.Load() + failed.Load()) },
 		Name:   f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
@@ -220,6 +224,33 @@
 	f.gone = out
 }
 
+// totals reads what the box has counted. Classes are by worth, the least first.
+func (f *Fleet) totals(set *counters.Set) func() view.Totals {
+	read, again := set.Get("requests_read"), set.Get("requests_marked_retry")
+	worth := map[string]float64{}
+	for _, c := range f.cfg.Site.Policy.Classes {
+		worth[c.Name] = c.Worth
+	}
+	return func() (t view.Totals) {
+		further := uint64(again.Load())
+		t.Further, t.First = further, uint64(max(0, read.Load()-int64(further)))
+		f.mu.Lock()
+		r := f.replica
+		f.mu.Unlock()
+		if r == nil {
+			return t
+		}
+		n := r.Operator().Figures()
+		slices.SortStableFunc(n.Classes, func(a, b replica.ClassFigures) int { return cmp.Compare(worth[a.Name], worth[b.Name]) })
+		for _, c := range n.Classes {
+			t.Served, t.Refused = t.Served+uint64(c.Served), t.Refused+uint64(c.Refused)
+			t.Classes = append(t.Classes, uint64(c.Served+c.Refused+c.Failed))
+		}
+		t.Running = int(n.Open)
+		return t
+	}
+}
+
 // AuditFolder implements control.Fleet.
 func (f *Fleet) AuditFolder() string {
 	dir := filepath.Join(f.cfg.State, "audit")
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -27,6 +27,7 @@
 	Recover() error
 	ChangeVoters(how string, names []string) error // add, remove or replace; replace takes the old and the new name
 	AuditFolder() string
+	Load() fleet.LoadStatus
 	Rollouts() fleet.Rollouts
 	Body(n uint64) ([]byte, error)
 	PutConfig(src []byte, caller string) (uint64, error)
@@ -77,6 +78,7 @@
 	handle("GET /fleet/status", func(f Fleet, _ *http.Request) (any, error) { return f.Status(), nil })
 	handle("GET /fleet/members", func(f Fleet, _ *http.Request) (any, error) { return f.Members(), nil })
 	handle("GET /fleet/leases", func(f Fleet, _ *http.Request) (any, error) { return f.Leases(), nil })
+	handle("GET /fleet/load", func(f Fleet, _ *http.Request) (any, error) { return f.Load(), nil })
 	handle("GET /fleet/audit", func(f Fleet, _ *http.Request) (any, error) { return f.AuditFolder(), nil })
 	handle("GET /fleet/rollouts", func(f Fleet, _ *http.Request) (any, error) { return f.Rollouts(), nil })
 	handle("GET /fleet/config/{n}", func(f Fleet, r *http.Request) (any, error) {
@@ -166,6 +168,11 @@
 	return s, c.call("GET", "/fleet/status", nil, &s)
 }
 
+// Load asks how the fleet is loaded.
+func (c FleetClient) Load() (s fleet.LoadStatus, err error) {
+	return s, c.call("GET", "/fleet/load", nil, &s)
+}
+
 // AuditFolder asks where the box's audit stands.
 func (c FleetClient) AuditFolder() (dir string, err error) {
 	return dir, c.call("GET", "/fleet/audit", nil, &dir)
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -17,25 +17,25 @@
 
 // Sums are what a box knows of the whole fleet, itself included. Rates are in requests a second.
 type Sums struct {
-	Boxes    int                // with a fresh summary
-	Known    int                // boxes that there are, the dead excepted
-	Age      time.Duration      // of the oldest summary that counts
-	Capacity float64            // that can be served
-	Free     float64            // of the capacity, at boxes other than this one
-	First    float64            // first tries that come
-	Further  float64            // further tries that come
-	Classes  []float64          // offered by class, the least worth first
-	Tenants  map[string]float64 // offered by tenant
+	Boxes    int                `cbor:"1,keyasint" json:"boxes"`    // with a fresh summary
+	Known    int                `cbor:"2,keyasint" json:"known"`    // boxes that there are, the dead excepted
+	Age      time.Duration      `cbor:"3,keyasint" json:"age_ns"`   // of the oldest summary that counts
+	Capacity float64            `cbor:"4,keyasint" json:"capacity"` // that can be served
+	Free     float64            `cbor:"5,keyasint" json:"free"`     // of the capacity, at boxes other than this one
+	First    float64            `cbor:"6,keyasint" json:"first"`    // first tries that come
+	Further  float64            `cbor:"7,keyasint" json:"further"`  // further tries that come
+	Classes  []float64          `cbor:"8,keyasint" json:"classes"`  // offered by class, the least worth first
+	Tenants  map[string]float64 `cbor:"9,keyasint" json:"tenants"`  // offered by tenant
 }
 
 // Advice is what the module may take from the fleet. The zero value is none: the box is as if it were alone.
 type Advice struct {
-	Trust   float64            // 0 to 1: how much of what follows counts already
-	Tenants map[string]float64 // the chance at which a tenant's request is beyond its share, where it is above 0
-	Level   int                // classes below this place in the order of worth are shed at read
-	Further float64            // the chance at which a further try is refused at read
-	GiveUp  bool               // no other box could serve it
-	Later   [2]time.Duration   // between these a refused caller is asked to come back, at a place drawn evenly
+	Trust   float64            `json:"trust"`             // 0 to 1: how much of what follows counts already
+	Tenants map[string]float64 `json:"tenants,omitempty"` // the chance at which a tenant's request is beyond its share, where it is above 0
+	Level   int                `json:"level"`             // classes below this place in the order of worth are shed at read
+	Further float64            `json:"further"`           // the chance at which a further try is refused at read
+	GiveUp  bool               `json:"give_up"`           // no other box could serve it
+	Later   [2]time.Duration   `json:"later_ns"`          // between these a refused caller is asked to come back, at a place drawn evenly
 }
 
 // The stated rules.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"cairnlane/internal/decide/straggler"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/fleet/peer"
+	"cairnlane/internal/fleet/view"
 	"cairnlane/internal/state/audit"
 	"cairnlane/internal/state/configs"
 )
@@ -37,6 +38,7 @@
 	Configs *configs.Store                                                             // nil: no part in roll-outs
 	Check   func(n uint64, body []byte) (needs uint64, rules rollout.Rules, err error) // of a configuration, against this build
 	Served  func() (good, bad uint64)                                                  // requests of this process; may be nil
+	Load    func() view.Totals                                                         // how the box is loaded; nil: it does not tell
 }
 
 // The kinds of messages on the links, in the order in which they go.
@@ -44,12 +46,14 @@
 	kindLedger  = byte(iota) // what keeps the agreement going; it is of no use late
 	kindRecords              // what boxes that follow are told
 	kindBodies               // contents of configurations
+	kindLoad                 // how boxes are loaded; of no use late
 )
 
 var kinds = []peer.Kind{
 	kindLedger:  {Messages: 2048, Bytes: 16 << 20, Stale: 3 * time.Second},
 	kindRecords: {Messages: 256, Bytes: 32 << 20, Stale: 10 * time.Second},
 	kindBodies:  {Messages: 64, Bytes: 4 << 20, Stale: 5 * time.Second},
+	kindLoad:    {Messages: 16, Bytes: 1 << 20, Stale: time.Second},
 }
 
 // inboxMost is how many messages may wait for the node. What is beyond is lost, as on a network.
@@ -79,12 +83,14 @@
 	stands  straggler.State
 
 	versions *versions // nil: no part in roll-outs
+	load     load
 }
 
 type received struct {
 	from string
 	m    ledger.Message
 	body *body // or this
+	load *view.Message
 }
 
 // decoding bounds what a message may claim to hold.
@@ -135,6 +141,9 @@
 	f.noteLocked(audit.Entry{Kind: audit.Version, Build: &cfg.Acts})
 	go f.run(ctx)
 	go f.tellMarks(ctx)
+	if cfg.Load != nil {
+		go f.tellLoad(ctx)
+	}
 	return f, nil
 }
 
@@ -145,10 +154,14 @@
 func (f *Fleet) receive(from string, kind byte, payload []byte) {
 	r := received{from: from}
 	var err error
-	if kind == kindBodies {
+	switch kind {
+	case kindBodies:
 		r.body = new(body)
 		err = decoding.Unmarshal(payload, r.body)
-	} else {
+	case kindLoad:
+		r.load = new(view.Message)
+		err = decoding.Unmarshal(payload, r.load)
+	default:
 		err = decoding.Unmarshal(payload, &r.m)
 	}
 	if err != nil {
@@ -193,6 +206,8 @@
 // take gives the node what a peer has said.
 func (f *Fleet) take(now time.Duration, r received) {
 	switch {
+	case r.load != nil:
+		f.hearLoad(now, r.from, *r.load)
 	case r.body == nil:
 		f.node.Receive(now, r.from, r.m)
 	case f.versions != nil:
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -13,14 +13,14 @@
 
 // Summary is what a box says of itself, a few times a second. Rates are a second's.
 type Summary struct {
-	Session  uint64             `cbor:"1,keyasint"` // the box's incarnation in the ledger
-	Seq      uint64             `cbor:"2,keyasint"` // grows within an incarnation
-	Capacity float64            `cbor:"3,keyasint"` // requests that it can serve
-	Running  float64            `cbor:"4,keyasint"` // requests that it serves
-	First    float64            `cbor:"5,keyasint"`
-	Further  float64            `cbor:"6,keyasint"`
-	Classes  []float64          `cbor:"7,keyasint"` // offered, the least worth first
-	Tenants  map[string]float64 `cbor:"8,keyasint"` // offered, the greatest of them
+	Session  uint64             `cbor:"1,keyasint" json:"session"`  // the box's incarnation in the ledger
+	Seq      uint64             `cbor:"2,keyasint" json:"seq"`      // grows within an incarnation
+	Capacity float64            `cbor:"3,keyasint" json:"capacity"` // requests that it can serve
+	Running  float64            `cbor:"4,keyasint" json:"running"`  // requests that it serves
+	First    float64            `cbor:"5,keyasint" json:"first"`
+	Further  float64            `cbor:"6,keyasint" json:"further"`
+	Classes  []float64          `cbor:"7,keyasint" json:"classes"`           // offered, the least worth first
+	Tenants  map[string]float64 `cbor:"8,keyasint" json:"tenants,omitempty"` // offered, the greatest of them
 }
 
 // The bounds of a view.
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -108,3 +108,38 @@
 		}
 	})
 }
+
+// TestCapacityIsMeasuredWhereItShows: a box that refuses is at its capacity, and one that does not has at least what it serves.
+func TestCapacityIsMeasuredWhereItShows(t *testing.T) {
+	var m Meter
+	var sum Totals
+	now := time.Duration(0)
+	run := func(seconds int, first, further, served, refused uint64) (s Summary) {
+		for range seconds * 4 {
+			now += Each
+			sum.First, sum.Further, sum.Served, sum.Refused = sum.First+first/4, sum.Further+further/4, sum.Served+served/4, sum.Refused+refused/4
+			sum.Classes = []uint64{sum.Served / 2, sum.Served / 2}
+			s = m.Read(now, sum)
+		}
+		return s
+	}
+	near := func(what string, got, want float64) {
+		if math.Abs(got-want) > 0.06*want+1 {
+			t.Errorf("%s: %v, not %v", what, got, want)
+		}
+	}
+	if s := m.Read(0, sum); s.Capacity != 0 {
+		t.Errorf("of nothing: %+v", s)
+	}
+	s := run(5, 400, 40, 440, 0)
+	near("calm", s.Capacity, 440)
+	near("first tries", s.First, 400)
+	near("further tries", s.Further, 40)
+	near("a class", s.Classes[0], 220)
+	near("calm for long", run(90, 40, 0, 40, 0).Capacity, 220)
+	near("refuses", run(10, 2000, 400, 800, 1600).Capacity, 800)
+	near("slower now", run(10, 2000, 400, 400, 2000).Capacity, 400)
+	if s := m.Read(now+Each, Totals{}); s.First != 0 || s.Capacity < 0 {
+		t.Errorf("after a start: %+v", s)
+	}
+}
--- a/internal/lab/audits/audits.go
+++ b/internal/lab/audits/audits.go
@@ -458,9 +458,29 @@
 			break
 		}
 	}
+	if err == nil {
+		err = t.heard()
+	}
 	if err == nil {
 		time.Sleep(6 * time.Second) // the audits' heads are told each 5 s
 		err = t.site.Settle(30 * time.Second)
 	}
 	return err
 }
+
+// heard waits until every box knows the load of all.
+func (t *trial) heard() (err error) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(lookEach) {
+		err = nil
+		for _, b := range t.site.Boxes {
+			l, e := b.Control().Fleet().Load()
+			if e != nil || l.Fleet.Boxes != t.cfg.Boxes || l.Advice.Trust < 1 || l.Fleet.Capacity <= 0 {
+				err = fmt.Errorf("%s does not know the load of all: %+v, %v", b.Name, l.Fleet, e)
+			}
+		}
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
