Have make audit show that a box which is shut out leaves service and comes back

Need: leave_service of a fleet's configuration was there without a test. The box that is shut out at the end of the trial has it set now: its audit must say that it left service, and that it is back once it is brought up. The first try asked the door's check, which says yes while an operator's drain lasts, as docs/drain.md has it.

--- a/internal/lab/audits/audits.go
+++ b/internal/lab/audits/audits.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"cairnlane/internal/lab/actor"
 	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/standin/resource"
+	"cairnlane/internal/state/audit"
 )
 
 // Config is what a trial is played with.
@@ -49,6 +51,7 @@
 	Name   string
 	Refuse string // boxes that turn it down, by name, or all
 	Needs  uint64
+	Leave  bool // who is shut out leaves service
 	Turned int
 	Do     string        // "", "kill" or "stop" its conductor, "abort", "supersede", "two" operators at once
 	Rest   time.Duration // afterwards, so that who is behind is shut out
@@ -336,7 +339,7 @@
 	if s.Refuse != "" {
 		fmt.Fprintf(&src, " TRIAL_REFUSE = %q\n", s.Refuse)
 	}
-	fmt.Fprintf(&src, "}\nstragglers {\n grace = %q\n floor = %v\n}\n", grace, floor)
+	fmt.Fprintf(&src, "}\nstragglers {\n grace = %q\n floor = %v\n leave_service = %v\n}\n", grace, floor, s.Leave)
 	err = t.someone(20*time.Second, t.late, func(b *rig.Box) error {
 		n, err = b.Control().Fleet().PutConfig([]byte(src.String()))
 		return err
@@ -464,6 +467,9 @@
 			break
 		}
 	}
+	if err == nil && t.cfg.Refuses {
+		err = t.serves("n3", true)
+	}
 	if err == nil {
 		err = t.heard()
 	}
@@ -477,7 +483,7 @@
 // shut has one box turn a configuration down that all others take, and waits until it is shut out. Under faults the judges change too
 // often for it, at some seeds.
 func (t *trial) shut(box string) error {
-	n, err := t.put(Script{Refuse: box}, "one box turns it down")
+	n, err := t.put(Script{Refuse: box, Leave: true}, "one box turns it down")
 	if err != nil {
 		return err
 	}
@@ -486,7 +492,7 @@
 	if err := t.someone(20*time.Second, anyone, func(b *rig.Box) error { return b.Control().Fleet().StartRoll(n, plan) }); err != nil {
 		return err
 	}
-	return t.someone(grace+40*time.Second, anyone, func(b *rig.Box) error {
+	err = t.someone(grace+40*time.Second, anyone, func(b *rig.Box) error {
 		r, err := ask(b)
 		if err != nil {
 			return err
@@ -496,6 +502,31 @@
 		}
 		return nil
 	})
+	if err != nil {
+		return err
+	}
+	return t.serves(box, false)
+}
+
+// serves waits until the audit of a box says last that it has left service for being shut out, or that it is back.
+func (t *trial) serves(box string, on bool) error {
+	i := slices.IndexFunc(t.site.Boxes, func(b *rig.Box) bool { return b.Name == box })
+	left := false
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(lookEach) {
+		b, err := audit.Read(t.site.Boxes[i].Audits()[0])
+		if err != nil {
+			return err
+		}
+		for _, e := range b.Entries {
+			if e.Kind == audit.Drain {
+				left = e.OK
+			}
+		}
+		if left != on {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is out of service: %v, and should not be so", box, left)
 }
 
 // heard waits until every box knows the load of all.
