Share what the trials of leases and audits set up alike

Seen on reading the change once more: traps, things and the environment of acting boxes stood in lab/leases and lab/audits alike, and seven commands of cairnctl's audit repeated their places. Change: actor.Traps, actor.Things and actor.Env; one embedded struct of places.

--- a/cmd/cairnctl/audit.go
+++ b/cmd/cairnctl/audit.go
@@ -15,35 +15,40 @@
 	"cairnlane/internal/state/audit"
 )
 
+// places are where audits stand.
+type places struct {
+	Places []string `arg:"" help:"Folders or sockets."`
+}
+
 type auditOptions struct {
 	Offline    bool          `help:"Without the ledger's marks. What was cut off the end is then not found, and little is ordered between boxes."`
 	ClockError time.Duration `default:"1m" help:"By how much the boxes' clocks may have been off."`
 
 	Verify struct {
-		Places []string `arg:"" help:"Folders or sockets."`
+		places `embed:""`
 	} `cmd:"" help:"Check the chains, and against the ledger's marks; exit code 1 when something is not as it was written."`
 	List struct {
-		Places []string `arg:"" help:"Folders or sockets."`
+		places `embed:""`
 	} `cmd:"" help:"All entries, by the ledger's index as far as each box knew it."`
 	At struct {
-		When   string   `arg:"" help:"A time as 2026-12-01T14:05:00Z, or an index of the ledger."`
-		Places []string `arg:"" help:"Folders or sockets."`
+		When   string `arg:"" help:"A time as 2026-12-01T14:05:00Z, or an index of the ledger."`
+		places `embed:""`
 	} `cmd:"" help:"Who acted as what."`
 	Version struct {
-		N      uint64   `arg:"" help:"Number of a configuration of the fleet."`
-		Places []string `arg:"" help:"Folders or sockets."`
+		N      uint64 `arg:"" help:"Number of a configuration of the fleet."`
+		places `embed:""`
 	} `cmd:"" help:"Who acted on it, from when to when, and whether a box did so that knew it to be allowed no more."`
 	Box struct {
-		Name   string   `arg:"" help:"A box's."`
-		Places []string `arg:"" help:"Folders or sockets."`
+		Name   string `arg:"" help:"A box's."`
+		places `embed:""`
 	} `cmd:"" help:"What a box did."`
 	Effects struct {
-		Task   string   `arg:"" help:"A task's name."`
-		Places []string `arg:"" help:"Folders or sockets."`
+		Task   string `arg:"" help:"A task's name."`
+		places `embed:""`
 	} `cmd:"" help:"What was done under a task's leases, in the order of their tokens."`
 	Page struct {
-		File   string   `arg:"" help:"HTML file to write."`
-		Places []string `arg:"" help:"Folders or sockets."`
+		File   string `arg:"" help:"HTML file to write."`
+		places `embed:""`
 	} `cmd:"" help:"One page with a lane for each box."`
 }
 
@@ -93,9 +98,9 @@
 // audit answers from the audits of boxes.
 func (o *options) audit(w io.Writer, name string, c control.FleetClient) error {
 	a := &o.Fleet.Audit
-	places := map[string][]string{"verify": a.Verify.Places, "list": a.List.Places, "at": a.At.Places, "version": a.Version.Places, "box": a.Box.Places,
+	from := map[string][]string{"verify": a.Verify.Places, "list": a.List.Places, "at": a.At.Places, "version": a.Version.Places, "box": a.Box.Places,
 		"effects": a.Effects.Places, "page": a.Page.Places}[name]
-	list, err := books(places)
+	list, err := books(from)
 	if err != nil {
 		return err
 	}
@@ -104,7 +109,7 @@
 		return err
 	}
 	if name == "verify" {
-		return o.verify(w, places, list, marks)
+		return o.verify(w, from, list, marks)
 	}
 	x := audit.NewIndex(list, marks)
 	build := func(b audit.Build) string {
--- a/internal/lab/audits/audits.go
+++ b/internal/lab/audits/audits.go
@@ -122,10 +122,9 @@
 	defer res.Close()
 	t := &trial{cfg: cfg, res: res, fig: &Figures{Processes: cfg.Boxes}, rand: rand.New(rand.NewPCG(cfg.Seed, 11)), from: time.Now().Add(-res.Now()),
 		samples: map[int][]sample{}, rises: map[uint64]time.Duration{}, waves: map[uint64]place{}, ends: map[uint64]rollout.Roll{}, outs: map[string]rollout.Out{}}
-	things := []string{"checked-a", "checked-b", "plain", "double"}
 	t.site, err = rig.NewSite(rig.SiteConfig{Seed: cfg.Seed, Dir: cfg.Dir, Boxes: cfg.Boxes, Voters: []int{0, 1, 2}, Terms: cfg.Terms, Election: cfg.Election, Example: cfg.Example,
 		Serve: func(path string) *exec.Cmd { return cfg.Serve(boxOf(cfg.Dir, path), path) }, Load: true, Env: func(box int) []string {
-			return []string{actor.EnvResource + "=" + res.String(), actor.EnvThings + "=" + strings.Join(things, ","), fmt.Sprintf("%s=%d", actor.EnvSeed, cfg.Seed*100+uint64(box))}
+			return actor.Env(res, cfg.Seed, box)
 		}})
 	if err != nil {
 		return nil, err
@@ -150,7 +149,7 @@
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
-		played, perr = t.site.Play(sched, traps{res})
+		played, perr = t.site.Play(sched, actor.Traps{Resource: res})
 	}()
 	for _, s := range cfg.Scripts {
 		if err := t.roll(s); err != nil {
@@ -197,14 +196,6 @@
 
 func (t *trial) now() time.Duration { return time.Since(t.from) }
 
-// traps finds the moment between check and effect by the stand-in, at things that compare tokens.
-type traps struct{ res *resource.Resource }
-
-// Stop implements rig.Traps.
-func (t traps) Stop(stop func(box string) bool) {
-	t.res.Trap(func(e resource.Effect) bool { return actor.Compares(e.Thing) && stop(e.Box) })
-}
-
 // ask asks a box how roll-outs stand. One that does not answer soon gives an error, and its answer is not waited for.
 func ask(b *rig.Box) (r fleetRollouts, err error) {
 	type answer struct {
--- a/internal/lab/leases/leases.go
+++ b/internal/lab/leases/leases.go
@@ -38,9 +38,6 @@
 	Progress io.Writer
 }
 
-// Things are what is acted upon: two that compare tokens, one that does not, and one that two may act on at a time.
-var Things = []string{"checked-a", "checked-b", "plain", "double"}
-
 // commandThing is acted upon by commands of cairnctl.
 const commandThing = "command"
 
@@ -79,7 +76,7 @@
 	voters := []int{0, 1, 2}
 	site, err := rig.NewSite(rig.SiteConfig{Seed: cfg.Seed, Dir: cfg.Dir, Boxes: cfg.Boxes, Voters: voters, Terms: cfg.Terms, Election: cfg.Election, Example: cfg.Example, Serve: cfg.Serve,
 		Clocks: cfg.Clocks, Load: true, Env: func(box int) []string {
-			return []string{actor.EnvResource + "=" + res.String(), actor.EnvThings + "=" + strings.Join(Things, ","), fmt.Sprintf("%s=%d", actor.EnvSeed, cfg.Seed*100+uint64(box))}
+			return actor.Env(res, cfg.Seed, box)
 		}})
 	if err != nil {
 		return nil, err
@@ -97,7 +94,7 @@
 		sched = rig.Draw(src, cfg.Kinds, cfg.Faults, cfg.Boxes, cfg.Span)
 	}
 	f := &Figures{Seed: cfg.Seed, Processes: cfg.Boxes, Schedule: sched, VacancyBound: cfg.Terms.Term + vacancyRest}
-	if f.Played, err = site.Play(sched, traps{res}); err != nil {
+	if f.Played, err = site.Play(sched, actor.Traps{Resource: res}); err != nil {
 		return nil, err
 	}
 	f.Faults, f.Kinds = f.Played.Sum(), len(f.Played)
@@ -137,14 +134,6 @@
 	}
 }
 
-// traps finds the moment between check and effect by the stand-in, at things that compare tokens.
-type traps struct{ res *resource.Resource }
-
-// Stop implements rig.Traps.
-func (t traps) Stop(stop func(box string) bool) {
-	t.res.Trap(func(e resource.Effect) bool { return actor.Compares(e.Thing) && stop(e.Box) })
-}
-
 // clean kills the holder of a thing and measures how soon another box acts on it.
 func (f *Figures) clean(cfg Config, site *rig.Site, res *resource.Resource) error {
 	thing := []string{"checked-a", "checked-b", "plain"}[f.Vacancies%3]
