--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 # Nine real processes of two builds, eleven roll-outs with faults in and between them, and what the audits answer against what was seen;
 # under 4 minutes.
 audit: trial
-	mkdir -p bin/trial/later && go build -tags trial -ldflags "-X cairnlane/internal/appliance.number=2" -o bin/trial/later/ ./cmd/cairnlane ./cmd/cairnsite
+	mkdir -p bin/trial/later && go build -tags trial -ldflags "-X cairnlane/internal/appliance.number=3" -o bin/trial/later/ ./cmd/cairnlane ./cmd/cairnsite
 	bin/cairnctl trial audit --seed $(SEED)
 
 # What the audit costs, and how fast a million entries answer; a minute and a half.
--- a/cmd/cairnctl/fleet.go
+++ b/cmd/cairnctl/fleet.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -13,6 +15,7 @@
 	"cairnlane/internal/clock"
 	"cairnlane/internal/control"
 	"cairnlane/internal/decide/lease"
+	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/command"
 )
 
@@ -72,7 +75,7 @@
 			Why string `arg:"" optional:"" help:"For those who look."`
 		} `cmd:"" help:"Have all boxes go back to what is in force."`
 	} `cmd:"" help:"Roll-outs of configurations."`
-	Load       struct{} `cmd:"" help:"How the fleet is loaded as this box knows it, and what the fleet's rules would have it shed. Nothing is shed by them yet."`
+	Load       struct{} `cmd:"" help:"How the fleet is loaded as this box knows it, what it sheds as one, and why."`
 	Stragglers struct{} `cmd:"" help:"The boxes that are behind, and what is to be done; exit code 1 when there are any."`
 	Lowest     struct {
 		N uint64 `arg:"" help:"Number: the one in force, or an older one."`
@@ -158,12 +161,7 @@
 		return o.rollout(w, strings.Fields(name)[1], c)
 	case "load":
 		s, err := c.Load()
-		return o.show(w, s, err, func(t io.Writer) {
-			v, a := s.Fleet, s.Advice
-			fmt.Fprintf(t, "boxes heard\t%d of %d, %v ago\ncapacity\t%.0f a second, %.0f free elsewhere\nfirst tries\t%.0f a second\nfurther tries\t%.0f a second\nthis box\t%.0f of %.0f a second, %.0f running\n",
-				v.Boxes, v.Known, v.Age.Round(time.Millisecond), v.Capacity, v.Free, v.First, v.Further, s.Own.First+s.Own.Further, s.Own.Capacity, s.Own.Running)
-			fmt.Fprintf(t, "trust\t%.2f\nlevel\t%d %s\nfurther tries refused\t%.0f%%\ngive up\t%v\nlater\t%v to %v\n", a.Trust, a.Level, s.Since, 100*a.Further, a.GiveUp, a.Later[0].Round(time.Millisecond), a.Later[1].Round(time.Millisecond))
-		})
+		return o.show(w, s, err, func(t io.Writer) { showLoad(t, s) })
 	case "stragglers":
 		return o.stragglers(w, c)
 	case "lowest":
@@ -244,3 +242,21 @@
 		}
 	}
 }
+
+// showLoad prints how the fleet is loaded and what it sheds, as a box knows it.
+func showLoad(t io.Writer, s fleet.LoadStatus) {
+	v := s.Fleet
+	fmt.Fprintf(t, "boxes heard\t%d of %d, %v ago\ncapacity\t%.0f a second, %.0f free elsewhere\nfirst tries\t%.0f a second\nfurther tries\t%.0f a second\nthis box\t%.0f of %.0f a second, %.0f served, %.0f refused\n",
+		v.Boxes, v.Known, v.Age.Round(time.Millisecond), v.Capacity, v.Free, v.First, v.Further, s.Own.First+s.Own.Further, s.Own.Capacity, s.Own.Running, s.Own.Refused)
+	a := s.Advice
+	if a == nil {
+		fmt.Fprintln(t, "sheds\tnothing as one: the configuration in force has no overload block, or this box is shut out")
+		return
+	}
+	fmt.Fprintf(t, "configuration\t%d\ntrust\t%.2f\nlevel\t%d %s\nfurther tries refused\t%.0f%%\ngive up\t%v\nlater\t%v to %v\n", a.Version, a.Trust, a.Level, s.Since, 100*a.Further, a.GiveUp, a.Later[0].Round(time.Millisecond), a.Later[1].Round(time.Millisecond))
+	for _, name := range slices.Sorted(maps.Keys(v.Tenants)) {
+		fmt.Fprintf(t, "tenant %s\t%.0f a second, %.0f%% of it beyond its share\n", name, v.Tenants[name], 100*a.Tenants[name])
+	}
+	c := s.Refused
+	fmt.Fprintf(t, "refused by this box\t%d over a share, %d of a low class, %d beyond the budget of tries\n", c.OverShare, c.LowClass, c.Beyond)
+}
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -18,6 +18,7 @@
 	"github.com/mholt/acmez/v3/acme"
 	"github.com/rs/zerolog"
 
+	"cairnlane/internal/assert"
 	"cairnlane/internal/certs"
 	"cairnlane/internal/clock"
 	"cairnlane/internal/config"
@@ -232,7 +233,9 @@
 
 // Status implements control.Daemon.
 func (s *state) Status() control.Status {
-	out := control.Status{Name: s.replica.Name, Listen: s.replica.Addr, Since: s.since, Draining: s.replica.Leaving(), Counters: s.replica.Counters.Values()}
+	values := s.replica.Counters.Values()
+	values["invariants_broken"] = assert.Failures()
+	out := control.Status{Name: s.replica.Name, Listen: s.replica.Addr, Since: s.since, Draining: s.replica.Leaving(), Counters: values}
 	if s.box.tls != nil {
 		out.TLS = s.box.tls.Addr()
 	}
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -23,13 +23,13 @@
 	"cairnlane/internal/daemon"
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/decide/shed"
 	"cairnlane/internal/faultfs"
 	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/fleet/view"
 	"cairnlane/internal/front"
 	"cairnlane/internal/operator"
-	"cairnlane/internal/replica"
 	"cairnlane/internal/state/audit"
 	"cairnlane/internal/state/configs"
 )
@@ -74,8 +74,8 @@
 }
 
 // number is that of the build, which says what it understands: it is raised when the fleet's configuration gains something. A
-// build may be made with another one: -ldflags "-X cairnlane/internal/appliance.number=2".
-var number = "1"
+// build may be made with another one: -ldflags "-X cairnlane/internal/appliance.number=3".
+var number = "2"
 
 // Number is the number of this build.
 func Number() uint64 {
@@ -96,6 +96,9 @@
 	if err != nil {
 		return 0, rollout.Rules{}, err
 	}
+	if err := c.CheckTenants(f.cfg.Site.Tenants); err != nil {
+		return 0, rollout.Rules{}, err
+	}
 	if n > 0 {
 		if err := trialRefuses(f.cfg.Site.Name, c.Values); err != nil {
 			return 0, rollout.Rules{}, fmt.Errorf("%s: %w", name, err)
@@ -132,7 +135,7 @@
 	}
 	served, refused, failed := set.Get("answers_served"), set.Get("answers_refused"), set.Get("answers_failed")
 	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(), Number: Number(), Configs: store, Check: f.checkNumbered,
-		Load:   f.totals(set),
+		Load: f.totals(set), Overload: f.overload, Advise: f.advise, Later: f.cfg.Site.Policy.MaxHoldOff,
 		Served: func() (good, bad uint64) { return uint64(served.Load()), uint64(refused.Load() + failed.Load()) },
 		Name:   f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
@@ -224,33 +227,64 @@
 	f.gone = out
 }
 
-// totals reads what the box has counted. Classes are by worth, the least first.
+// totals reads what the box has counted.
 func (f *Fleet) totals(set *counters.Set) func() view.Totals {
-	read, again := set.Get("requests_read"), set.Get("requests_marked_retry")
-	worth := map[string]float64{}
-	for _, c := range f.cfg.Site.Policy.Classes {
-		worth[c.Name] = c.Worth
-	}
+	read, again, beyond := set.Get("requests_read"), set.Get("requests_marked_retry"), set.Get("refused_beyond_tries")
 	return func() (t view.Totals) {
 		further := uint64(again.Load())
 		t.Further, t.First = further, uint64(max(0, read.Load()-int64(further)))
-		f.mu.Lock()
-		r := f.replica
-		f.mu.Unlock()
+		r := f.serves()
 		if r == nil {
 			return t
 		}
 		n := r.Operator().Figures()
-		slices.SortStableFunc(n.Classes, func(a, b replica.ClassFigures) int { return cmp.Compare(worth[a.Name], worth[b.Name]) })
+		t.Advised, t.Busy, t.Tenants = uint64(beyond.Load()), n.Busy, map[string]uint64{}
+		if s := r.Signal(); s.Set {
+			t.Level = s.Value
+		}
 		for _, c := range n.Classes {
-			t.Served, t.Refused = t.Served+uint64(c.Served), t.Refused+uint64(c.Refused)
-			t.Classes = append(t.Classes, uint64(c.Served+c.Refused+c.Failed))
+			t.Served, t.Late, t.Refused = t.Served+uint64(c.Served), t.Late+uint64(c.Late), t.Refused+uint64(c.Refused)
+			t.Classes = append(t.Classes, uint64(c.First))
+		}
+		t.Refused -= min(t.Refused, t.Advised)
+		for name, k := range n.Tenants {
+			t.Tenants[name] = uint64(k)
 		}
-		t.Running = int(n.Open)
 		return t
 	}
 }
 
+// serves is the replica once clients are taken, nil before.
+func (f *Fleet) serves() *daemon.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica
+}
+
+// advise has the module go by what the fleet says.
+func (f *Fleet) advise(a *shed.Advice) {
+	if r := f.serves(); r != nil {
+		r.Advise(a)
+	}
+}
+
+// overload reads what a configuration says of overload. The classes go in the order of what they are worth for the time that they may
+// take, which is the only measure of their work that all boxes have alike.
+func (f *Fleet) overload(n uint64, body []byte) *shed.Rules {
+	c, err := config.ParseNumbered(fmt.Sprintf("configuration %d", n), body)
+	if err != nil || c.Overload == nil {
+		return nil // it was checked before it came into force
+	}
+	r := &shed.Rules{Version: n, Tries: c.Overload.Tries, Shares: c.Overload.Shares}
+	classes := f.cfg.Site.Policy.Classes
+	for i := range classes {
+		r.Order = append(r.Order, i)
+	}
+	density := func(i int) float64 { return classes[i].Worth / classes[i].Aim.Seconds() }
+	slices.SortStableFunc(r.Order, func(a, b int) int { return cmp.Compare(density(a), density(b)) })
+	return r
+}
+
 // AuditFolder implements control.Fleet.
 func (f *Fleet) AuditFolder() string {
 	dir := filepath.Join(f.cfg.State, "audit")
--- a/internal/config/numbered.go
+++ b/internal/config/numbered.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
@@ -19,8 +22,19 @@
 	Needs      uint64            `hcl:"needs,optional"`  // the least number of a build that understands it
 	Values     map[string]string `hcl:"values,optional"` // for commands that run under a lease, as CAIRNLANE_VALUE_NAME
 	Stragglers *Stragglers       `hcl:"stragglers,block"`
+	Overload   *Overload         `hcl:"overload,block"` // nil: each box sheds by itself alone
+	places     map[string]hcl.Range
 }
 
+// Overload says what the fleet sheds as one, and how often it asks. docs/overload.md is the operators' page.
+type Overload struct {
+	Tries  float64            `hcl:"tries,optional"`  // further tries over first ones that the fleet takes; 0.1 if not given
+	Shares map[string]float64 `hcl:"shares,optional"` // of the capacity, by tenant; others have even parts of the rest
+}
+
+// OverloadNeeds is the number of the first build that knows an overload block.
+const OverloadNeeds = 2
+
 // Stragglers says what becomes of boxes that are behind.
 type Stragglers struct {
 	Grace string  `hcl:"grace,optional"`         // between being behind and being shut out; 30s if not given
@@ -70,12 +84,49 @@
 			wrong("Numbered.Values", fmt.Sprintf("values: %q must be a name of capital letters, digits and underscores", name))
 		}
 	}
+	if o := n.Overload; o != nil {
+		if n.Needs < OverloadNeeds {
+			wrong("Numbered.Overload", fmt.Sprintf("overload: builds below number %d do not know it; say needs = %d", OverloadNeeds, OverloadNeeds))
+		}
+		if !(o.Tries >= 0 && o.Tries <= 1) {
+			wrong("Numbered.Overload.Tries", "tries: it is a share of the first tries, from 0 to 1")
+		}
+		sum := 0.0
+		for name, s := range o.Shares {
+			if !(s > 0 && s <= 1) {
+				wrong("Numbered.Overload.Shares", fmt.Sprintf("shares: that of %q must be above 0 and up to 1", name))
+			}
+			sum += s
+		}
+		if sum > sharesMost {
+			wrong("Numbered.Overload.Shares", fmt.Sprintf("shares: they add up to %.2f; they are parts of one capacity", sum))
+		}
+	}
 	if diags.HasErrors() {
 		return nil, list(diags)
 	}
+	n.places = places
 	return n, nil
 }
 
+// sharesMost leaves room for shares that were rounded.
+const sharesMost = 1.02
+
+// CheckTenants turns down a share of a tenant that a box's settings do not know.
+func (n *Numbered) CheckTenants(known []string) error {
+	if n.Overload == nil {
+		return nil
+	}
+	var diags hcl.Diagnostics
+	for _, name := range slices.Sorted(maps.Keys(n.Overload.Shares)) {
+		if !slices.Contains(known, name) {
+			place := n.places["Numbered.Overload.Shares"]
+			diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf("shares: this box's settings know no tenant %q; they know %s", name, strings.Join(known, ", ")), Subject: &place})
+		}
+	}
+	return list(diags)
+}
+
 // Rules are what the configuration says of stragglers, with what holds where it says nothing.
 func (n *Numbered) Rules() rollout.Rules {
 	r := rollout.Rules{Grace: 30 * time.Second, Floor: 0.5, Leave: n.Stragglers.Leave}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/handover"
 	"cairnlane/internal/decide/lifecycle"
+	"cairnlane/internal/decide/shed"
 	"cairnlane/internal/engine"
 	"cairnlane/internal/front"
 	link "cairnlane/internal/handover"
@@ -74,6 +75,12 @@
 // Operator is the replica as operators call it.
 func (r *Replica) Operator() operator.Replica { return door{r.process} }
 
+// Advise has requests that are read from now on decided with what the box's fleet advises; nil ends it. It waits for nobody.
+func (r *Replica) Advise(a *shed.Advice) { r.process.Replica.Advise(a) }
+
+// Signal is the free value that goes out with answers.
+func (r *Replica) Signal() replica.Signal { return r.process.CurrentSignal() }
+
 // Leaving tells whether it drains.
 func (r *Replica) Leaving() bool {
 	s := r.process.state()
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -24,23 +24,70 @@
 	Free     float64            `cbor:"5,keyasint" json:"free"`     // of the capacity, at boxes other than this one
 	First    float64            `cbor:"6,keyasint" json:"first"`    // first tries that come
 	Further  float64            `cbor:"7,keyasint" json:"further"`  // further tries that come
-	Classes  []float64          `cbor:"8,keyasint" json:"classes"`  // offered by class, the least worth first
-	Tenants  map[string]float64 `cbor:"9,keyasint" json:"tenants"`  // offered by tenant
+	Classes  []float64          `cbor:"8,keyasint" json:"classes"`  // first tries offered by class, in the order of the settings
+	Tenants  map[string]float64 `cbor:"9,keyasint" json:"tenants"`  // first tries offered by tenant
 }
 
-// Advice is what the module may take from the fleet. The zero value is none: the box is as if it were alone.
+// Rules are what the fleet's configuration says of overload. All boxes that have a version in force have the same ones.
+type Rules struct {
+	Version uint64             // of the fleet's configuration
+	Tries   float64            // further tries over first ones that the fleet takes; 0: a tenth
+	Shares  map[string]float64 // of the capacity, by tenant; a tenant without one has an even part of what the others leave
+	Order   []int              // classes by their place in the settings, in the order in which they are shed
+}
+
+// Advice is what the module may take from the fleet. The zero value is none: the box is as if it were alone. It is not changed once it is
+// given out.
 type Advice struct {
+	Version uint64             `json:"version"`           // of the configuration that it was made under
 	Trust   float64            `json:"trust"`             // 0 to 1: how much of what follows counts already
 	Tenants map[string]float64 `json:"tenants,omitempty"` // the chance at which a tenant's request is beyond its share, where it is above 0
-	Level   int                `json:"level"`             // classes below this place in the order of worth are shed at read
+	Level   int                `json:"level"`             // so many classes of the order are shed before the others
+	Low     []bool             `json:"low,omitempty"`     // which ones they are, by their place in the settings
 	Further float64            `json:"further"`           // the chance at which a further try is refused at read
 	GiveUp  bool               `json:"give_up"`           // no other box could serve it
 	Later   [2]time.Duration   `json:"later_ns"`          // between these a refused caller is asked to come back, at a place drawn evenly
 }
 
+// The places in the order in which requests go where some must. Who is beyond a share goes before who is of a low class.
+const (
+	Ordinary  = iota
+	LowClass  // of a class below the fleet's level
+	OverShare // of a tenant, beyond its share
+)
+
+// Word is what an advice says of one request. The zero value is nothing.
+type Word struct {
+	Version uint64
+	Known   bool          // Full and Return count
+	Full    bool          // no other box could serve it
+	Return  time.Duration // when its caller is to come back, if it is refused
+	Beyond  bool          // a further try beyond what the fleet takes
+	Order   int           // Ordinary, LowClass or OverShare
+}
+
+// For is the word on a request of a tenant and a class, by its place in the settings. draw gives numbers evenly from 0 to 1.
+func (a *Advice) For(tenant string, class int, further bool, draw func() float64) Word {
+	w := Word{Version: a.Version}
+	if a.Trust == 0 {
+		return w
+	}
+	w.Beyond = further && draw() < a.Further
+	switch {
+	case draw() < a.Tenants[tenant]:
+		w.Order = OverShare
+	case class < len(a.Low) && a.Low[class] && draw() < a.Trust:
+		w.Order = LowClass
+	}
+	if w.Known = a.Trust == 1; w.Known {
+		w.Full, w.Return = a.GiveUp, a.Place(draw())
+	}
+	return w
+}
+
 // The stated rules.
 const (
-	budget      = 0.10 // further tries over first ones that the fleet takes
+	budget      = 0.10 // further tries over first ones that the fleet takes, where its configuration says nothing
 	fullFrom    = 0.95 // of the capacity: from here on tenants are held to their shares
 	enterAbove  = 1.05 // of the capacity, offered by what is not shed yet: one class more is shed, once it was so for enterFor
 	exitBelow   = 0.85 // of the capacity, offered by what is not shed and the class that is let in again, for exitFor
@@ -63,18 +110,47 @@
 	return max(0, min(1, age, heard))
 }
 
-// Shares divides a capacity over what tenants offer so that nobody gets more than it asks for, and of those who do not get all of it each
-// gets the same (max-min fairness, Bertsekas and Gallager, Data Networks, 6.5).
-func Shares(offered map[string]float64, capacity float64) map[string]float64 {
-	names := slices.SortedFunc(maps.Keys(offered), func(a, b string) int { return cmp.Or(cmp.Compare(offered[a], offered[b]), cmp.Compare(a, b)) })
+// Shares divides a capacity over what tenants offer so that nobody gets more than it asks for, and those who do not get all of it get
+// parts in the ratio of their weights (weighted max-min fairness, Bertsekas and Gallager, Data Networks, 6.5).
+func Shares(offered map[string]float64, capacity float64, weight func(tenant string) float64) map[string]float64 {
+	need := func(n string) float64 { return offered[n] / weight(n) }
+	names := slices.SortedFunc(maps.Keys(offered), func(a, b string) int { return cmp.Or(cmp.Compare(need(a), need(b)), cmp.Compare(a, b)) })
+	rest := 0.0 // weights of those who have got nothing yet
+	for _, n := range names {
+		rest += weight(n)
+	}
 	got := make(map[string]float64, len(names))
-	for i, n := range names {
-		got[n] = min(offered[n], max(0, capacity)/float64(len(names)-i))
+	for _, n := range names {
+		got[n] = min(offered[n], max(0, capacity)*weight(n)/rest)
 		capacity -= got[n]
+		rest -= weight(n)
 	}
 	return got
 }
 
+// leastWeight is that of a tenant whom the stated shares leave nothing.
+const leastWeight = 0.01
+
+// weights are the shares that the configuration states; those that it does not name have an even part of the rest.
+func (r Rules) weights(offered map[string]float64) func(string) float64 {
+	stated, others := 0.0, 0
+	for _, w := range r.Shares {
+		stated += w
+	}
+	for n := range offered {
+		if r.Shares[n] <= 0 {
+			others++
+		}
+	}
+	even := max((1-stated)/float64(max(others, 1)), leastWeight)
+	return func(n string) float64 {
+		if w := r.Shares[n]; w > 0 {
+			return w
+		}
+		return even
+	}
+}
+
 // Shedder is one box's. Its clock is the box's own. It is not safe for use by several goroutines.
 type Shedder struct {
 	level   int
@@ -86,16 +162,16 @@
 // Level is the present one.
 func (s *Shedder) Level() int { return s.level }
 
-// Advise says what this box is to do by sums. later bounds what a refused caller may be told.
-func (s *Shedder) Advise(now time.Duration, v Sums, later time.Duration) Advice {
-	a := Advice{Trust: Trust(v)}
-	s.turn(now, v, a.Trust)
+// Advise says what this box is to do by sums and the fleet's rules. later bounds what a refused caller may be told.
+func (s *Shedder) Advise(now time.Duration, v Sums, r Rules, later time.Duration) Advice {
+	a := Advice{Version: r.Version, Trust: Trust(v)}
+	s.turn(now, v, r, a.Trust)
 	a.Level = s.level
 	if a.Trust == 0 {
-		return Advice{Level: s.level}
+		return a
 	}
 	if offered := sum(v.Tenants); offered > fullFrom*v.Capacity {
-		shares := Shares(v.Tenants, fullFrom*v.Capacity)
+		shares := Shares(v.Tenants, fullFrom*v.Capacity, r.weights(v.Tenants))
 		for name, o := range v.Tenants {
 			if o > shares[name] {
 				if a.Tenants == nil {
@@ -105,8 +181,20 @@
 			}
 		}
 	}
-	if v.Further > budget*v.First {
-		a.Further = a.Trust * (1 - budget*v.First/v.Further)
+	if s.level > 0 {
+		a.Low = make([]bool, len(r.Order))
+		for _, place := range r.Order[:min(s.level, len(r.Order))] {
+			if place < len(a.Low) {
+				a.Low[place] = true
+			}
+		}
+	}
+	tries := r.Tries
+	if tries == 0 {
+		tries = budget
+	}
+	if v.Further > tries*v.First {
+		a.Further = a.Trust * (1 - tries*v.First/v.Further)
 	}
 	a.GiveUp = a.Trust == 1 && v.Free < noFree*v.Capacity
 	a.Later = spread(v, later)
@@ -115,14 +203,16 @@
 
 // turn moves the level, one step at a time. With sums that do not count it goes down as if nothing were offered: a box that is alone for
 // long sheds by itself.
-func (s *Shedder) turn(now time.Duration, v Sums, trust float64) {
+func (s *Shedder) turn(now time.Duration, v Sums, r Rules, trust float64) {
 	use := func(level int) float64 {
 		if trust == 0 {
 			return 0
 		}
 		n := 0.0
-		for _, o := range v.Classes[min(level, len(v.Classes)):] {
-			n += o
+		for _, place := range r.Order[min(level, len(r.Order)):] {
+			if place < len(v.Classes) {
+				n += v.Classes[place]
+			}
 		}
 		return n / v.Capacity
 	}
@@ -134,7 +224,7 @@
 			*since = max(now, 1)
 		}
 	}
-	mark(s.level < len(v.Classes)-1 && use(s.level) > enterAbove, &s.above)
+	mark(s.level < len(r.Order)-1 && use(s.level) > enterAbove, &s.above)
 	mark(s.level > 0 && use(s.level-1) < exitBelow, &s.below)
 	if s.changed != 0 && now-s.changed < changeEach {
 		return
--- a/internal/decide/shed/shed_test.go
+++ b/internal/decide/shed/shed_test.go
@@ -11,6 +11,8 @@
 	"cairnlane/internal/testkit"
 )
 
+var rules = Rules{Version: 7, Order: []int{0, 1, 2}}
+
 // sums are those of a healthy fleet of ten boxes with 1,000 requests a second of capacity.
 func sums(change func(*Sums)) Sums {
 	s := Sums{Boxes: 10, Known: 10, Capacity: 1000, Free: 200, First: 750, Further: 50, Classes: []float64{200, 200, 400}, Tenants: map[string]float64{"x": 400, "y": 400}}
@@ -33,7 +35,7 @@
 			t.Errorf("%d: %v, not %v", i, got, c.want)
 		}
 	}
-	if a := new(Shedder).Advise(0, sums(func(s *Sums) { s.Age = time.Minute; s.Further = 900; s.Tenants["x"] = 9000 }), time.Second); a.Trust != 0 || a.Tenants != nil || a.Further != 0 || a.GiveUp || a.Later[1] != 0 {
+	if a := new(Shedder).Advise(0, sums(func(s *Sums) { s.Age = time.Minute; s.Further = 900; s.Tenants["x"] = 9000 }), rules, time.Second); a.Trust != 0 || a.Tenants != nil || a.Further != 0 || a.GiveUp || a.Later[1] != 0 {
 		t.Errorf("old sums are believed: %+v", a)
 	}
 }
@@ -58,8 +60,13 @@
 				total += o
 			}
 		}
-		a := new(Shedder).Advise(0, s, time.Second)
+		r := rules
+		if rapid.Bool().Draw(t, "stated") {
+			r.Shares = map[string]float64{"0": 0.5, "1": 0.1}
+		}
+		a := new(Shedder).Advise(0, s, r, time.Second)
 		excess, dropped := max(0, total-fullFrom*capacity), 0.0
+		weight := r.weights(s.Tenants)
 		for name, list := range at {
 			for _, o := range list {
 				dropped += o * a.Tenants[name]
@@ -68,13 +75,16 @@
 		if math.Abs(dropped-excess) > 0.05*excess+1e-6 {
 			t.Fatalf("all shed %v of an excess of %v", dropped, excess)
 		}
-		shares := Shares(s.Tenants, fullFrom*capacity)
+		shares, weights := Shares(s.Tenants, fullFrom*capacity, weight), 0.0
+		for name := range s.Tenants {
+			weights += weight(name)
+		}
 		for name, got := range shares {
 			if got > s.Tenants[name]+1e-6 || got < 0 {
 				t.Fatalf("%s gets %v of %v", name, got, s.Tenants[name])
 			}
-			if a.Tenants[name] > 0 && got < fullFrom*capacity/float64(n)-1e-6 {
-				t.Fatalf("%s is within an even share with %v and is shed", name, got)
+			if a.Tenants[name] > 0 && got < fullFrom*capacity*weight(name)/weights-1e-6 {
+				t.Fatalf("%s is within its share with %v and is shed", name, got)
 			}
 		}
 	})
@@ -91,7 +101,7 @@
 		{func(s *Sums) { s.Free = 0 }, 0, true}, {func(s *Sums) { s.Free = 21 }, 0, false}, {func(s *Sums) { s.Free, s.Age = 0, 1500*time.Millisecond }, 0, false},
 		{func(s *Sums) { s.Further, s.Age = 150, 2*time.Second }, 0.25, false},
 	} {
-		a := new(Shedder).Advise(0, sums(c.change), time.Second)
+		a := new(Shedder).Advise(0, sums(c.change), rules, time.Second)
 		if math.Abs(a.Further-c.further) > 1e-9 || a.GiveUp != c.giveUp {
 			t.Errorf("%d: %+v", i, a)
 		}
@@ -111,7 +121,7 @@
 	}{
 		{nil, time.Second}, {func(s *Sums) { s.First, s.Free = 1500, 100 }, 5500 * time.Millisecond}, {func(s *Sums) { s.First, s.Free = 1500, 0 }, most}, {func(s *Sums) { s.First, s.Free = 9000, 1 }, most},
 	} {
-		a := new(Shedder).Advise(0, sums(c.change), most)
+		a := new(Shedder).Advise(0, sums(c.change), rules, most)
 		if a.Later[1] != c.until || a.Place(0) == a.Place(1) || a.Place(-3) != a.Later[0] || a.Place(7) != a.Later[1] || a.Place(0.5) <= a.Place(0.2) {
 			t.Errorf("%d: %v", i, a.Later)
 		}
@@ -133,7 +143,7 @@
 			}
 			v := sums(func(s *Sums) { s.Classes = []float64{offered * 0.3, offered * 0.3, offered * 0.4} })
 			before := s.Level()
-			level := s.Advise(now, v, time.Second).Level
+			level := s.Advise(now, v, rules, time.Second).Level
 			if level == before {
 				continue
 			}
@@ -155,7 +165,7 @@
 		now := time.Duration(0)
 		run := func(v Sums, d time.Duration) {
 			for end := now + d; now < end; now += 250 * time.Millisecond {
-				s.Advise(now, v, time.Second)
+				s.Advise(now, v, rules, time.Second)
 			}
 		}
 		run(sums(func(s *Sums) { s.Classes = []float64{600, 600, 700} }), time.Minute)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/decide/rollout"
+	"cairnlane/internal/decide/shed"
 	"cairnlane/internal/decide/straggler"
 	"cairnlane/internal/fleet/ledger"
 	"cairnlane/internal/fleet/peer"
@@ -39,6 +40,10 @@
 	Check   func(n uint64, body []byte) (needs uint64, rules rollout.Rules, err error) // of a configuration, against this build
 	Served  func() (good, bad uint64)                                                  // requests of this process; may be nil
 	Load    func() view.Totals                                                         // how the box is loaded; nil: it does not tell
+	// Overload reads the rules of shedding out of a configuration of a number; nil where it has none.
+	Overload func(n uint64, body []byte) *shed.Rules
+	Advise   func(*shed.Advice) // takes what the fleet advises, nil for nothing; it must not wait. It may be nil
+	Later    time.Duration      // the longest that a caller may be asked to stay away
 }
 
 // The kinds of messages on the links, in the order in which they go.
@@ -69,6 +74,7 @@
 	inbox chan received
 	stop  context.CancelFunc
 	ended chan struct{}
+	set   *counters.Set
 	lost  *counters.Counter
 	over  *counters.Counter // effects that took longer than was said
 
@@ -83,7 +89,7 @@
 	stands  straggler.State
 
 	versions *versions // nil: no part in roll-outs
-	load     load
+	load     load      // f.mu is held for all of it
 }
 
 type received struct {
@@ -104,7 +110,7 @@
 
 // Open takes up the box's part and begins to talk to its peers.
 func Open(cfg Config, set *counters.Set) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, inbox: make(chan received, inboxMost), stands: straggler.Level, ended: make(chan struct{}), kick: make(chan struct{}, 1), changed: make(chan struct{}),
+	f := &Fleet{cfg: cfg, set: set, inbox: make(chan received, inboxMost), stands: straggler.Level, ended: make(chan struct{}), kick: make(chan struct{}, 1), changed: make(chan struct{}),
 		lost: set.Get("fleet_messages_lost"), over: set.Get("fleet_effects_over_time")}
 	var err error
 	if f.store, err = ledger.OpenStore(cfg.Dir); err != nil {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -11,33 +11,38 @@
 	"cairnlane/internal/fleet/view"
 )
 
-// load is a box's part in what its fleet knows of its load; f.mu is held for all of it. What comes of it is shown and acted upon by nobody
-// yet: serving knows nothing of it.
+// load is a box's part in what its fleet knows of its load. Serving takes what comes of it as a value, and waits for none of it.
 type load struct {
-	exchange view.Exchange
-	meter    view.Meter
-	shedder  shed.Shedder
-	own      view.Summary
-	advice   shed.Advice
-	sums     shed.Sums
-	level    time.Duration // since when the level is what it is
+	view.Load
+	rules *shed.Rules // of the configuration that is in force
+	n     uint64      // its number
 }
 
 // LoadStatus is how the fleet is loaded, as a box knows it.
 type LoadStatus struct {
 	Own    view.Summary `json:"own"`
 	Fleet  shed.Sums    `json:"fleet"`
-	Advice shed.Advice  `json:"advice"`
+	Rules  *shed.Rules  `json:"rules,omitempty"` // nil: the configuration that is in force has the fleet shed nothing
+	Advice *shed.Advice `json:"advice,omitempty"`
 	Since  string       `json:"level_since,omitempty"`
+	// Refused counts what this box has refused by the fleet's word.
+	Refused Refused `json:"refused"`
+}
+
+// Refused counts refusals by the fleet's word.
+type Refused struct {
+	OverShare int64 `json:"over_share"`
+	LowClass  int64 `json:"low_class"`
+	Beyond    int64 `json:"beyond_tries"`
 }
 
 // Load tells how the fleet is loaded.
 func (f *Fleet) Load() LoadStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := LoadStatus{Own: f.load.own, Fleet: f.load.sums, Advice: f.load.advice}
-	if f.load.level != 0 {
-		s.Since = (f.cfg.Now() - f.load.level).Round(time.Second).String()
+	s := LoadStatus{Own: f.load.Own, Fleet: f.load.Sums, Rules: f.load.rules, Advice: f.load.Advice, Refused: Refused{f.set.Get("refused_over_share").Load(), f.set.Get("refused_low_class").Load(), f.set.Get("refused_beyond_tries").Load()}}
+	if f.load.Level != 0 {
+		s.Since = (f.cfg.Now() - f.load.Level).Round(time.Second).String()
 	}
 	return s
 }
@@ -61,8 +66,21 @@
 	return p
 }
 
-// laterMost is the longest that a caller would be asked to stay away for.
-const laterMost = 10 * time.Second
+// overload reads the rules anew when another configuration is in force.
+func (f *Fleet) overload() {
+	l := &f.load
+	if n := f.node.InForce(); n != l.n {
+		l.n, l.rules = n, nil
+		if n == 0 || f.cfg.Overload == nil || f.versions == nil {
+			return
+		}
+		if now := f.versions.store.InForce(); now.N == n {
+			l.rules = f.cfg.Overload(n, f.versions.store.Body(now.Digest))
+		} else {
+			l.n = 0 // it changes just now
+		}
+	}
+}
 
 // tellLoad says how this box is loaded, and hears of the others.
 func (f *Fleet) tellLoad(ctx context.Context) {
@@ -76,19 +94,13 @@
 		}
 		totals := f.cfg.Load()
 		f.mu.Lock()
-		now, l := f.cfg.Now(), &f.load
-		l.own = l.meter.Read(now, totals)
-		p := f.place()
-		var out []view.Out
-		if f.node.Stands() != straggler.Out {
-			out = l.exchange.Tick(now, p, l.own)
-		}
-		l.sums = l.exchange.Sums(now, p)
-		was := l.advice.Level
-		if l.advice = l.shedder.Advise(now, l.sums, laterMost); l.advice.Level != was {
-			l.level = now
-		}
+		f.overload()
+		out := f.load.Tick(f.cfg.Now(), view.Turn{Place: f.place(), Totals: totals, Rules: f.load.rules, Later: f.cfg.Later, Out: f.node.Stands() == straggler.Out})
+		advice := f.load.Advice
 		f.mu.Unlock()
+		if f.cfg.Advise != nil {
+			f.cfg.Advise(advice)
+		}
 		for _, o := range out {
 			if raw, err := cbor.Marshal(o.Message); err == nil {
 				f.links.Send(o.To, kindLoad, raw)
@@ -99,7 +111,7 @@
 
 // hearLoad takes what another box says of its load.
 func (f *Fleet) hearLoad(now time.Duration, from string, m view.Message) {
-	if !f.load.exchange.Take(now, from, m, f.place()) {
+	if !f.load.Take(now, from, m, f.place()) {
 		f.lost.Inc()
 	}
 }
--- a/internal/fleet/view/exchange.go
+++ b/internal/fleet/view/exchange.go
@@ -197,6 +197,8 @@
 		return shed.Sums{Known: p.Known}
 	}
 	s.Age = now - x.all.at
-	s.Free = max(0, s.Free-max(0, x.own.Capacity-x.own.Running)) // what this box has free is not elsewhere
+	if !x.own.Full {
+		s.Free = max(0, s.Free-max(0, x.own.Capacity-x.own.Running)) // what this box has free is not elsewhere
+	}
 	return s
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -17,10 +17,14 @@
 	Seq      uint64             `cbor:"2,keyasint" json:"seq"`      // grows within an incarnation
 	Capacity float64            `cbor:"3,keyasint" json:"capacity"` // requests that it can serve
 	Running  float64            `cbor:"4,keyasint" json:"running"`  // requests that it serves
+	Refused  float64            `cbor:"9,keyasint" json:"refused"`
+	Late     float64            `cbor:"10,keyasint" json:"late"`  // served after their aim
+	Full     bool               `cbor:"11,keyasint" json:"full"`  // it refuses by its own word: it has nothing free
+	Level    float64            `cbor:"12,keyasint" json:"level"` // its free value
 	First    float64            `cbor:"5,keyasint" json:"first"`
 	Further  float64            `cbor:"6,keyasint" json:"further"`
-	Classes  []float64          `cbor:"7,keyasint" json:"classes"`           // offered, the least worth first
-	Tenants  map[string]float64 `cbor:"8,keyasint" json:"tenants,omitempty"` // offered, the greatest of them
+	Classes  []float64          `cbor:"7,keyasint" json:"classes"`           // first tries, in the order of the settings
+	Tenants  map[string]float64 `cbor:"8,keyasint" json:"tenants,omitempty"` // first tries, of the greatest
 }
 
 // The bounds of a view.
@@ -67,7 +71,8 @@
 // possible tells whether a summary can be true at all.
 func possible(s Summary) bool {
 	number := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) && !math.IsNaN(x) }
-	if len(s.Classes) > ClassesMost || len(s.Tenants) > TenantsMost || !number(s.Capacity) || !number(s.Running) || !number(s.First) || !number(s.Further) {
+	if len(s.Classes) > ClassesMost || len(s.Tenants) > TenantsMost || !number(s.Capacity) || !number(s.Running) || !number(s.First) || !number(s.Further) ||
+		!number(s.Refused) || !number(s.Late) || !number(s.Level) {
 		return false
 	}
 	for _, c := range s.Classes {
@@ -117,7 +122,7 @@
 		out.Capacity += weight * capacity
 		out.First += offered * h.First
 		out.Further += offered * h.Further
-		if box != self {
+		if box != self && !h.Full {
 			out.Free += weight * max(0, capacity-min(h.Running, capacity))
 		}
 		for i, c := range h.Classes {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -114,11 +114,12 @@
 	var m Meter
 	var sum Totals
 	now := time.Duration(0)
+	busy := 0.0
 	run := func(seconds int, first, further, served, refused uint64) (s Summary) {
 		for range seconds * 4 {
 			now += Each
 			sum.First, sum.Further, sum.Served, sum.Refused = sum.First+first/4, sum.Further+further/4, sum.Served+served/4, sum.Refused+refused/4
-			sum.Classes = []uint64{sum.Served / 2, sum.Served / 2}
+			sum.Classes, sum.Tenants, sum.Busy = []uint64{sum.First / 2, sum.First / 2}, map[string]uint64{"t": sum.First}, busy
 			s = m.Read(now, sum)
 		}
 		return s
@@ -131,15 +132,38 @@
 	if s := m.Read(0, sum); s.Capacity != 0 {
 		t.Errorf("of nothing: %+v", s)
 	}
-	s := run(5, 400, 40, 440, 0)
-	near("calm", s.Capacity, 440)
+	s := run(10, 400, 40, 440, 0)
+	near("calm, and nothing is known of the cores", s.Capacity, 440)
+	busy = 0.5
+	s = run(10, 400, 40, 440, 0)
+	near("calm", s.Capacity, 880)
 	near("first tries", s.First, 400)
 	near("further tries", s.Further, 40)
-	near("a class", s.Classes[0], 220)
-	near("calm for long", run(90, 40, 0, 40, 0).Capacity, 220)
+	near("a class", s.Classes[0], 200)
+	near("a tenant", s.Tenants["t"], 400)
+	if s.Full {
+		t.Error("it refuses nothing and is full")
+	}
+	busy = 0.05
+	near("hardly anything is done", run(30, 40, 0, 40, 0).Capacity, 880)
+	busy = 1
 	near("refuses", run(10, 2000, 400, 800, 1600).Capacity, 800)
-	near("slower now", run(10, 2000, 400, 400, 2000).Capacity, 400)
-	if s := m.Read(now+Each, Totals{}); s.First != 0 || s.Capacity < 0 {
+	s = run(10, 2000, 400, 400, 2000)
+	near("slower now", s.Capacity, 400)
+	if !s.Full {
+		t.Error("it refuses and is not full")
+	}
+	for range 8 * 4 { // what is refused by the fleet's word shows nothing
+		now += Each
+		sum.First, sum.Served, sum.Advised, sum.Busy = sum.First+100, sum.Served+50, sum.Advised+50, 0.5
+		s = m.Read(now, sum)
+	}
+	near("advised to refuse", s.Capacity, 400)
+	if s.Full {
+		t.Error("it refuses by the fleet's word alone and is full")
+	}
+	was := s.First
+	if s := m.Read(now+Each, Totals{}); s.First > was || s.Capacity < 0 {
 		t.Errorf("after a start: %+v", s)
 	}
 }
--- a/internal/lab/audits/audits.go
+++ b/internal/lab/audits/audits.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"cairnlane/internal/config"
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/decide/rollout"
 	"cairnlane/internal/lab/actor"
@@ -69,7 +70,7 @@
 	{Name: "two operators at once", Do: "two"},
 	{Name: "superseded", Do: "supersede"},
 	{Name: "aborted", Do: "abort"},
-	{Name: "for a later build", Needs: 2},
+	{Name: "for a later build", Needs: 3},
 	{Name: "good again"},
 }
 
@@ -323,9 +324,8 @@
 // put has a configuration be numbered.
 func (t *trial) put(s Script, name string) (n uint64, err error) {
 	var src strings.Builder
-	if s.Needs > 0 {
-		fmt.Fprintf(&src, "needs = %d\n", s.Needs)
-	}
+	// Each has the fleet shed as one, so that requests are judged by it too, from their read to their answer.
+	fmt.Fprintf(&src, "needs = %d\noverload {\n tries = 0.2\n}\n", max(s.Needs, config.OverloadNeeds))
 	fmt.Fprintf(&src, "values = {\n NAME = %q\n", name)
 	if s.Refuse != "" {
 		fmt.Fprintf(&src, " TRIAL_REFUSE = %q\n", s.Refuse)
@@ -464,6 +464,12 @@
 	if err == nil {
 		err = t.heard()
 	}
+	for _, b := range t.site.Boxes {
+		if st, e := b.Control().Status(); e == nil && st.Counters["invariants_broken"] > 0 {
+			t.note("%s has broken invariants: %s", b.Name, b.Log())
+			t.fig.Mixed++ // a request that is judged by two versions is one of them
+		}
+	}
 	if err == nil {
 		time.Sleep(6 * time.Second) // the audits' heads are told each 5 s
 		err = t.site.Settle(30 * time.Second)
@@ -526,7 +532,7 @@
 		err = nil
 		for _, b := range t.site.Boxes {
 			l, e := b.Control().Fleet().Load()
-			if e != nil || l.Fleet.Boxes != t.cfg.Boxes || l.Advice.Trust < 1 || l.Fleet.Capacity <= 0 {
+			if e != nil || l.Fleet.Boxes != t.cfg.Boxes || l.Advice == nil || l.Advice.Trust < 1 || l.Fleet.Capacity <= 0 {
 				err = fmt.Errorf("%s does not know the load of all: %+v, %v", b.Name, l.Fleet, e)
 			}
 		}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cairnlane/internal/assert"
+	"cairnlane/internal/decide/shed"
 	"cairnlane/policy"
 )
 
@@ -56,6 +57,15 @@
 		r.Fail(id)
 		return
 	}
+	assert.That(a.Version == req.others.Version, "a request is judged from its read to its answer by one version")
+	switch o := &req.others; {
+	case o.Beyond:
+		r.count.beyond.Inc()
+	case o.Order == shed.OverShare:
+		r.count.overShare.Inc()
+	case o.Order == shed.LowClass:
+		r.count.lowClass.Inc()
+	}
 	refusal := Answer{Kind: Refused, Later: a.HoldOff, GiveUp: a.Last}
 	r.answer(req, refusal)
 	if req.running {
@@ -228,6 +238,7 @@
 	r.enter(func(now time.Duration) {
 		if r.cfg.OnCores < len(values) {
 			r.gauges.OnCores, r.gauged = values[r.cfg.OnCores], now
+			r.figures.demand(r.gauges.OnCores / float64(r.cfg.Policy.Cores))
 		}
 		if r.asking {
 			r.ticked(now)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,13 +6,16 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/handover"
+	"cairnlane/internal/decide/shed"
 	"cairnlane/policy"
 )
 
@@ -95,6 +98,8 @@
 	oldestDeadlines = 2
 	// doorAhead is how far in the future a door may lie before it is not believed.
 	doorAhead = time.Second
+	// adviceStream names the random numbers of the fleet's advice.
+	adviceStream = 20
 )
 
 // ErrRequest is wrapped by what Arrive says of a request that cannot be taken.
@@ -109,6 +114,7 @@
 	door     time.Duration
 	content  handover.Digest // Keyed: of class and body
 	claim    uint64          // under which the other process of a replacement has left its key to this one
+	others   policy.Others   // what is known of the other boxes, from its read to its answer
 	answered bool
 	running  bool // decided to run; its end is awaited
 	sent     bool // RUN was written at least once
@@ -125,6 +131,7 @@
 	classes map[string]int
 	count   counts
 	figures *figures
+	advice  atomic.Pointer[shed.Advice] // what the fleet advises; nil where there is none
 
 	mu      sync.Mutex // the module is entered by one caller at a time
 	ctl     *policy.Controller
@@ -142,9 +149,11 @@
 	signal  Signal
 	healthy bool
 	oldest  time.Duration // no request that is read came longer ago
+	draw    func() float64
 }
 
 type counts struct {
+	beyond, overShare, lowClass                                                                                            *counters.Counter // refusals by the fleet's word
 	read, retries, served, refused, failed, reused, advised, giveups, runs, resent, done, moot, stray, rejected, malformed *counters.Counter
 }
 
@@ -158,6 +167,7 @@
 		reused: set.Get("answers_reused"), advised: set.Get("answers_with_later"), giveups: set.Get("answers_with_giveup"),
 		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), done: set.Get("runs_done"),
 		moot: set.Get("runs_done_unserved"), stray: set.Get("notices_unmatched"), rejected: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
+	r.count.beyond, r.count.overShare, r.count.lowClass = set.Get("refused_beyond_tries"), set.Get("refused_over_share"), set.Get("refused_low_class")
 	r.shared = newShared(cfg.Replaceable)
 	for i := range cfg.Policy.Classes {
 		r.classes[cfg.Policy.Classes[i].Name] = i
@@ -166,7 +176,7 @@
 	if r.cfg.Policy.KeyKB <= 0 {
 		r.cfg.Policy.KeyKB = 1e-3 // the module keeps only keys that cost something
 	}
-	r.figures = newFigures(cfg.Policy.Classes)
+	r.figures = newFigures(cfg.Policy.Classes, cfg.Tenants)
 	var err error
 	r.enter(func(now time.Duration) { r.ctl, err = policy.New(now, r.cfg.Policy, r) })
 	if err != nil {
@@ -243,7 +253,8 @@
 		r.nextID++
 		req.id = r.nextID
 		r.live[req.id], r.txns[q.Txn] = req, req
-		r.figures.open.Add(1)
+		r.figures.came(req)
+		req.others = r.othersFor(req)
 		if k == nil && r.shared.possible && req.class.Semantics == policy.Keyed {
 			r.ask(now, req)
 			return
@@ -256,13 +267,35 @@
 // admit has the module decide on a request that repeats the one of an entry, or none.
 func (r *Replica) admit(now time.Duration, req *request, k *key) {
 	in := policy.Request{ID: req.id, Class: req.place, Retry: req.Retry, Caller: req.Caller, KB: req.KB, Rank: req.Rank,
-		Key: req.Item, Waited: max(now-req.door, 0), Due: req.door + req.Limit}
+		Key: req.Item, Waited: max(now-req.door, 0), Due: req.door + req.Limit, Others: req.others}
 	if k != nil {
 		in.Earlier = k.holder
 	}
 	r.call(func() { r.ctl.Arrive(now, in) })
 }
 
+// Advise has requests that are read from now on decided with what the fleet advises, until the next call; nil ends it. Those that were
+// read before keep what they were read under. The value is not changed afterwards.
+func (r *Replica) Advise(a *shed.Advice) {
+	if a != nil && a.Trust == 0 {
+		a = nil
+	}
+	r.advice.Store(a)
+}
+
+// othersFor is the fleet's word on a request, in the module's terms.
+func (r *Replica) othersFor(req *request) policy.Others {
+	a := r.advice.Load()
+	if a == nil {
+		return policy.Others{}
+	}
+	if r.draw == nil { // of its own, so that the module's chances are the same with a fleet and without
+		r.draw = rand.New(rand.NewPCG(uint64(r.cfg.Policy.Seed), adviceStream)).Float64
+	}
+	w := a.For(req.Tenant, req.place, req.Retry, r.draw)
+	return policy.Others{Version: w.Version, Known: w.Known, Full: w.Full, Return: w.Return, Beyond: w.Beyond, Order: w.Order}
+}
+
 // answer gives a request its one final answer.
 func (r *Replica) answer(req *request, a Answer) {
 	if !assert.That(!req.answered, "a try is answered once") {
@@ -270,6 +303,9 @@
 	}
 	req.answered = true
 	r.figures.ended(req.place, a.Kind)
+	if a.Kind == Served && r.clock.Now() > req.door+req.class.Aim {
+		r.figures.late[req.place].Add(1)
+	}
 	switch a.Kind {
 	case Served:
 		r.count.served.Inc()
--- a/policy/api.go
+++ b/policy/api.go
@@ -107,6 +107,18 @@
 	Key      string
 	Waited   time.Duration // time since it reached the machine
 	Due      time.Duration // clock time at which the caller leaves, 0 if not told
+	Others   Others
+}
+
+// Others is what is known, as a request is read, of the other servers that serve the same callers. The zero value is
+// nothing: the server is alone.
+type Others struct {
+	Version uint64        // under which it is known; handed back with a refusal
+	Known   bool          // Full and Return count
+	Full    bool          // none of them could serve the request
+	Return  time.Duration // when its caller is to come back, drawn so that not all come at once
+	Beyond  bool          // a further try, beyond those that all servers together take
+	Order   int           // 0, 1 or 2: the higher ones are refused first where some must be
 }
 
 // Outcome tells how a run or a call ended.
@@ -134,6 +146,7 @@
 type Advice struct {
 	HoldOff time.Duration // stay away from this server for so long
 	Last    bool          // do not try elsewhere
+	Version uint64        // Others.Version of the request
 }
 
 // Host carries out the actions of a Controller on its server.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -146,9 +146,10 @@
 	stats                      []sizeStat
 	completions, latencySum    float64
 	meanRun, onCores           float64
-	meanDensity                float64 // worth for work of the mean arrival
-	sameCaller                 float64 // chance that two arrivals share a caller: 1 / callers that count
-	repeats, lastShare         float64 // of arrivals: tried before; of refusals: asked not to try again
+	meanDensity                float64    // worth for work of the mean arrival
+	sameCaller                 float64    // chance that two arrivals share a caller: 1 / callers that count
+	sooner                     [4]float64 // share of arrivals whose Order is that place or a later one
+	repeats, lastShare         float64    // of arrivals: tried before; of refusals: asked not to try again
 	lastCaller                 int
 	calls, callRetry, lingerer queue
 	callMean                   float64
@@ -181,7 +182,8 @@
 	cfg.RunFactor, cfg.FallFactor = max(cfg.RunFactor, 1), max(cfg.FallFactor, 1)
 	c := &Controller{cfg: cfg, host: host, now: now, began: now, ticked: now, resized: now, lastStart: now,
 		rng: uint64(cfg.Seed), live: map[RequestID]*request{}, keys: map[RequestID]bool{},
-		callers: map[int]*caller{}, reuse: 1, share: 1, signal: -1, refused: map[RequestID]bool{}}
+		callers: map[int]*caller{}, reuse: 1, share: 1, signal: -1, refused: map[RequestID]bool{},
+		sooner: [4]float64{1}}
 	tightest := time.Duration(math.MaxInt64)
 	for i, k := range cfg.Classes {
 		if k.Aim <= 0 || k.Deadline <= 0 {
@@ -310,7 +312,7 @@
 	switch {
 	case c.draining && r.arrived > c.drainAt+c.cfg.DrainGrace: // rule 3
 		return true
-	case c.tooLate(r) || c.doomed(r):
+	case c.tooLate(r) || c.doomed(r) || r.Others.Beyond:
 		return true
 	case c.memory+c.keyCost(r) > c.memoryLimit(): // rule 4, and rule 2: no room to remember it
 		return true
@@ -326,7 +328,7 @@
 	if c.burstAllowed > 0 {
 		return false
 	}
-	p, floor := c.dropProb*c.lean(r.class), 0.0
+	p, floor := c.inOrder(r)*c.lean(r.class), 0.0
 	if c.cfg.Signal == RankFloor && !c.draining {
 		floor = min(max(c.signal, 0), p)
 	}
@@ -336,6 +338,13 @@
 	return c.random()*(1-floor) < p-floor
 }
 
+// inOrder is PIE's chance for r: what the other servers' word puts first goes first, at the same mean rate.
+// That word says who is refused and never how much; without it all are alike.
+func (c *Controller) inOrder(r *request) float64 {
+	before, upTo := c.sooner[r.Others.Order+1], c.sooner[r.Others.Order]
+	return min(max((c.dropProb-before)/max(upTo-before, meanWeight), 0), 1)
+}
+
 // lean lowers the chance of classes that earn more for their work than the mean, to the inverse of their
 // lead; PIE makes up for it on the rest. Classes under the mean stay alike, so that none is starved.
 func (c *Controller) lean(k *class) float64 {
@@ -357,6 +366,9 @@
 func (c *Controller) observe(r *request) {
 	count(&c.sameCaller, r.Caller == c.lastCaller)
 	count(&c.repeats, r.Retry)
+	for place := 1; place < len(c.sooner)-1; place++ {
+		count(&c.sooner[place], r.Others.Order >= place)
+	}
 	c.lastCaller = r.Caller
 	if r.class.meanRun > 0 {
 		average(&c.meanDensity, c.density(r.class))
@@ -810,7 +822,10 @@
 // server of many refuses is not lost. Harm: reads elsewhere, until the repeats are seen.
 func (c *Controller) refuse(r *request) {
 	crowded := c.ahead.dropProb > lastAbove && c.refusedElsewhere() > repeatsAbove
-	advice := Advice{Last: !c.draining && (crowded || c.now > r.aimAt)}
+	if r.Others.Known {
+		crowded = r.Others.Full
+	}
+	advice := Advice{Last: !c.draining && (crowded || c.now > r.aimAt), Version: r.Others.Version}
 	count(&c.lastShare, advice.Last)
 	mute := c.cfg.Signal == NoSignal || c.cfg.Signal == CallerTokens
 	if mute && !c.closing { // the signal cannot say zero, and callers do come back
@@ -819,6 +834,10 @@
 		free := time.Duration(c.startTime / max(c.startSum, 1) * float64(time.Second))
 		advice.HoldOff = min(free, c.cfg.MaxHoldOff)
 	}
+	elsewhere := !mute && !c.draining && !r.Others.Full && c.ahead.dropProb > lastAbove // others have room
+	if r.Others.Known && (elsewhere || advice.HoldOff > 0) {
+		advice.HoldOff = min(r.Others.Return, c.cfg.MaxHoldOff)
+	}
 	c.host.Refuse(r.ID, advice)
 	c.drop(r)
 }
@@ -961,7 +980,7 @@
 	case NoSignal:
 		return
 	case RankFloor:
-		value = c.ahead.dropProb * levelShare
+		value = max(0, c.ahead.dropProb-c.sooner[1]) * levelShare // those put first are refused here
 		if leaving {
 			value = 1
 		}
