Play fleets under overload in virtual time, and have all boxes ask callers for the same

With the callers' part left as it was, the boxes' free values ran between 0 and 0.9 within seconds and demand between 5 and 66 on 6 cores: callers leave the box that asks for more, so each is by turns empty and flooded.

Change: what is beyond a tenant's share is refused at the least pressure; classes of the fleet's level once p is above 0.1; the order of PIE's dice is gone again. Above a mean of 0.1 boxes ask callers for the mean of all, but for one that is 0.3 above it. What tenants get beyond stated shares shrinks while callers hold much back. Callers that send what they were asked to hold back are known by it, and are not refused first. One level for the fleet: that of the first box that sums up. Offered load is counted with what is held back.

--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -135,7 +135,7 @@
 	}
 	served, refused, failed := set.Get("answers_served"), set.Get("answers_refused"), set.Get("answers_failed")
 	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(), Number: Number(), Configs: store, Check: f.checkNumbered,
-		Load: f.totals(set), Overload: f.overload, Advise: f.advise, Later: f.cfg.Site.Policy.MaxHoldOff,
+		Load: f.totals, Overload: f.overload, Advise: f.advise, Later: f.cfg.Site.Policy.MaxHoldOff,
 		Served: func() (good, bad uint64) { return uint64(served.Load()), uint64(refused.Load() + failed.Load()) },
 		Name:   f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
@@ -228,30 +228,11 @@
 }
 
 // totals reads what the box has counted.
-func (f *Fleet) totals(set *counters.Set) func() view.Totals {
-	read, again, beyond := set.Get("requests_read"), set.Get("requests_marked_retry"), set.Get("refused_beyond_tries")
-	return func() (t view.Totals) {
-		further := uint64(again.Load())
-		t.Further, t.First = further, uint64(max(0, read.Load()-int64(further)))
-		r := f.serves()
-		if r == nil {
-			return t
-		}
-		n := r.Operator().Figures()
-		t.Advised, t.Busy, t.Tenants = uint64(beyond.Load()), n.Busy, map[string]uint64{}
-		if s := r.Signal(); s.Set {
-			t.Level = s.Value
-		}
-		for _, c := range n.Classes {
-			t.Served, t.Late, t.Refused = t.Served+uint64(c.Served), t.Late+uint64(c.Late), t.Refused+uint64(c.Refused)
-			t.Classes = append(t.Classes, uint64(c.First))
-		}
-		t.Refused -= min(t.Refused, t.Advised)
-		for name, k := range n.Tenants {
-			t.Tenants[name] = uint64(k)
-		}
-		return t
+func (f *Fleet) totals() (t view.Totals) {
+	if r := f.serves(); r != nil {
+		t = view.TotalsOf(r.Operator().Figures(), r.Level())
 	}
+	return t
 }
 
 // serves is the replica once clients are taken, nil before.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,8 +78,8 @@
 // Advise has requests that are read from now on decided with what the box's fleet advises; nil ends it. It waits for nobody.
 func (r *Replica) Advise(a *shed.Advice) { r.process.Replica.Advise(a) }
 
-// Signal is the free value that goes out with answers.
-func (r *Replica) Signal() replica.Signal { return r.process.CurrentSignal() }
+// Level is what the module by itself would have callers hold back.
+func (r *Replica) Level() float64 { return r.process.Replica.Level() }
 
 // Leaving tells whether it drains.
 func (r *Replica) Leaving() bool {
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -13,19 +13,25 @@
 	"math"
 	"slices"
 	"time"
+
+	"cairnlane/internal/decide/probes"
 )
 
 // Sums are what a box knows of the whole fleet, itself included. Rates are in requests a second.
 type Sums struct {
-	Boxes    int                `cbor:"1,keyasint" json:"boxes"`    // with a fresh summary
-	Known    int                `cbor:"2,keyasint" json:"known"`    // boxes that there are, the dead excepted
-	Age      time.Duration      `cbor:"3,keyasint" json:"age_ns"`   // of the oldest summary that counts
-	Capacity float64            `cbor:"4,keyasint" json:"capacity"` // that can be served
-	Free     float64            `cbor:"5,keyasint" json:"free"`     // of the capacity, at boxes other than this one
-	First    float64            `cbor:"6,keyasint" json:"first"`    // first tries that come
-	Further  float64            `cbor:"7,keyasint" json:"further"`  // further tries that come
-	Classes  []float64          `cbor:"8,keyasint" json:"classes"`  // first tries offered by class, in the order of the settings
-	Tenants  map[string]float64 `cbor:"9,keyasint" json:"tenants"`  // first tries offered by tenant
+	Boxes    int                `cbor:"1,keyasint" json:"boxes"`                     // with a fresh summary
+	Known    int                `cbor:"2,keyasint" json:"known"`                     // boxes that there are, the dead excepted
+	Age      time.Duration      `cbor:"3,keyasint" json:"age_ns"`                    // of the oldest summary that counts
+	Capacity float64            `cbor:"4,keyasint" json:"capacity"`                  // that can be served
+	Free     float64            `cbor:"5,keyasint" json:"free"`                      // of the capacity, at boxes other than this one
+	First    float64            `cbor:"6,keyasint" json:"first"`                     // first tries that come
+	Further  float64            `cbor:"7,keyasint" json:"further"`                   // further tries that come
+	Classes  []float64          `cbor:"8,keyasint" json:"classes"`                   // first tries offered by class, in the order of the settings
+	Tenants  map[string]float64 `cbor:"9,keyasint" json:"tenants"`                   // first tries offered by tenant
+	Level    float64            `cbor:"11,keyasint" json:"level"`                    // what callers are asked to hold back, in the mean by capacity
+	Said     []probes.Said      `cbor:"10,keyasint,omitempty" json:"said,omitempty"` // what boxes have found of what all depend on
+	Shed     int                `cbor:"12,keyasint" json:"shed"`                     // the level of who leads: the first by name of the boxes that sum up
+	Lead     bool               `cbor:"-" json:"lead"`                               // it is this box
 }
 
 // Rules are what the fleet's configuration says of overload. All boxes that have a version in force have the same ones.
@@ -45,6 +51,7 @@
 	Level   int                `json:"level"`             // so many classes of the order are shed before the others
 	Low     []bool             `json:"low,omitempty"`     // which ones they are, by their place in the settings
 	Further float64            `json:"further"`           // the chance at which a further try is refused at read
+	Mean    float64            `json:"mean"`              // what callers are asked to hold back, in the mean of the boxes
 	GiveUp  bool               `json:"give_up"`           // no other box could serve it
 	Later   [2]time.Duration   `json:"later_ns"`          // between these a refused caller is asked to come back, at a place drawn evenly
 }
@@ -88,12 +95,15 @@
 // The stated rules.
 const (
 	budget      = 0.10 // further tries over first ones that the fleet takes, where its configuration says nothing
-	fullFrom    = 0.95 // of the capacity: from here on tenants are held to their shares
+	fullFrom    = 1.00 // of the capacity: from here on tenants are held to their shares
 	enterAbove  = 1.05 // of the capacity, offered by what is not shed yet: one class more is shed, once it was so for enterFor
 	exitBelow   = 0.85 // of the capacity, offered by what is not shed and the class that is let in again, for exitFor
 	enterFor    = 2 * time.Second
 	exitFor     = 30 * time.Second // longer than the waves of 15 to 30 s in which boxes slow and recover
 	changeEach  = 10 * time.Second
+	calm        = 0.03 // of what callers are asked to hold back: as much is no pressure
+	squeezeRate = 0.5  // of the capacity, in a second of asking callers to hold back everything
+	squeezeMost = 0.6
 	noFree      = 0.02 // of the capacity: less than this free elsewhere is nobody's to give
 	staleAfter  = time.Second
 	forgotAfter = 3 * time.Second
@@ -128,6 +138,27 @@
 	return got
 }
 
+// Parts divides a capacity over what tenants offer: each gets what it asks for up to its stated share, and what is left of the part that
+// may be given out goes to those who ask for more.
+func (r Rules) Parts(offered map[string]float64, capacity, part float64) map[string]float64 {
+	weight := r.weights(offered)
+	sum := 0.0
+	for n := range offered {
+		sum += weight(n)
+	}
+	got, more := make(map[string]float64, len(offered)), make(map[string]float64, len(offered))
+	rest := part * capacity
+	for n, o := range offered {
+		got[n] = min(o, capacity*weight(n)/max(sum, 1))
+		more[n] = o - got[n]
+		rest -= got[n]
+	}
+	for n, g := range Shares(more, rest, weight) {
+		got[n] += g
+	}
+	return got
+}
+
 // leastWeight is that of a tenant whom the stated shares leave nothing.
 const leastWeight = 0.01
 
@@ -155,6 +186,8 @@
 type Shedder struct {
 	level   int
 	changed time.Duration // when the level did; 0: never
+	squeeze float64       // part of the capacity that is not given out beyond the stated shares
+	looked  time.Duration // when it was changed last
 	above   time.Duration // since when too much was offered; 0: it is not
 	below   time.Duration // since when there was room; 0: there is not
 }
@@ -166,12 +199,13 @@
 func (s *Shedder) Advise(now time.Duration, v Sums, r Rules, later time.Duration) Advice {
 	a := Advice{Version: r.Version, Trust: Trust(v)}
 	s.turn(now, v, r, a.Trust)
+	s.press(now, v, a.Trust)
 	a.Level = s.level
 	if a.Trust == 0 {
 		return a
 	}
-	if offered := sum(v.Tenants); offered > fullFrom*v.Capacity {
-		shares := Shares(v.Tenants, fullFrom*v.Capacity, r.weights(v.Tenants))
+	if offered := sum(v.Tenants); offered > (fullFrom-s.squeeze)*v.Capacity {
+		shares := r.Parts(v.Tenants, v.Capacity, fullFrom-s.squeeze)
 		for name, o := range v.Tenants {
 			if o > shares[name] {
 				if a.Tenants == nil {
@@ -197,10 +231,22 @@
 		a.Further = a.Trust * (1 - tries*v.First/v.Further)
 	}
 	a.GiveUp = a.Trust == 1 && v.Free < noFree*v.Capacity
-	a.Later = spread(v, later)
+	a.Later, a.Mean = spread(v, later), min(v.Level, 1)
 	return a
 }
 
+// press squeezes what tenants get beyond their stated shares while callers are asked to hold back more than a little: they do so by rank
+// alone, and would hold back what is within a share as well. Refusing costs a read, so the squeeze ends as soon as it is not needed.
+func (s *Shedder) press(now time.Duration, v Sums, trust float64) {
+	span := min(now-s.looked, time.Second).Seconds()
+	s.looked = now
+	goal := v.Level - calm
+	if trust < 1 {
+		goal = -calm
+	}
+	s.squeeze = max(0, min(squeezeMost, s.squeeze+squeezeRate*span*goal))
+}
+
 // turn moves the level, one step at a time. With sums that do not count it goes down as if nothing were offered: a box that is alone for
 // long sheds by itself.
 func (s *Shedder) turn(now time.Duration, v Sums, r Rules, trust float64) {
@@ -216,6 +262,13 @@
 		}
 		return n / v.Capacity
 	}
+	if !v.Lead && trust > 0 { // one level for the fleet: that of who leads, with the same time between two changes
+		if s.level != v.Shed && (s.changed == 0 || now-s.changed >= changeEach) {
+			s.level, s.changed = min(max(v.Shed, 0), max(len(r.Order)-1, 0)), max(now, 1)
+		}
+		s.above, s.below = 0, 0
+		return
+	}
 	mark := func(on bool, since *time.Duration) {
 		switch {
 		case !on:
--- a/internal/fleet/view/exchange.go
+++ b/internal/fleet/view/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cairnlane/internal/decide/probes"
 	"cairnlane/internal/decide/shed"
 )
 
@@ -56,6 +57,7 @@
 	hop   int             // how many relays were given up on
 	seq   uint64
 	own   Summary
+	level int // this box's, as it tells it where it leads
 }
 
 // relay is who this box speaks to. Each box has one of its own; it goes on to the next one when nothing is heard for as long as sums count
@@ -106,6 +108,7 @@
 	if x.parts == nil {
 		x.parts = map[string]part{}
 	}
+	mine.Shed = x.level
 	x.parts[p.Self] = part{mine, p.Session, x.seq, now}
 	all := x.add(now, p)
 	x.all = part{all, p.Session, x.seq, now}
@@ -125,6 +128,7 @@
 // add sums the parts of relays that are heard.
 func (x *Exchange) add(now time.Duration, p Place) shed.Sums {
 	out := shed.Sums{Known: p.Known, Tenants: map[string]float64{}}
+	led := false
 	for _, r := range slices.Sorted(maps.Keys(x.parts)) {
 		q := x.parts[r]
 		if now-q.at > forgotten || !slices.Contains(p.Relays, r) {
@@ -132,10 +136,17 @@
 			continue
 		}
 		weight := min(1, max(0, 1-float64(now-q.at-fresh)/float64(forgotten-fresh)))
+		if !led && now-q.at <= fresh { // the first by name that is heard
+			out.Shed, led = q.sums.Shed, true
+		}
 		if now-q.at <= fresh {
 			out.Boxes += q.sums.Boxes
 		}
+		for _, s := range q.sums.Said {
+			out.Said = append(out.Said, older(s, now-q.at))
+		}
 		out.Capacity += weight * q.sums.Capacity
+		out.Level += weight * q.sums.Capacity * min(q.sums.Level, 1)
 		out.Free += weight * q.sums.Free
 		out.First += weight * q.sums.First
 		out.Further += weight * q.sums.Further
@@ -151,7 +162,8 @@
 			}
 		}
 	}
-	out.Boxes = min(out.Boxes, max(p.Known, 0))
+	out.Level /= max(out.Capacity, 1e-9)
+	out.Boxes, out.Said = min(out.Boxes, max(p.Known, 0)), probes.Newest(out.Said)
 	return out
 }
 
@@ -185,8 +197,26 @@
 
 // sane bounds what a relay may say.
 func sane(s *shed.Sums) bool {
-	return len(s.Classes) <= ClassesMost && len(s.Tenants) <= 4*TenantsMost && s.Boxes >= 0 && s.Boxes <= BoxesMost &&
-		possible(Summary{Capacity: s.Capacity, Running: s.Free, First: s.First, Further: s.Further, Classes: s.Classes})
+	for _, w := range s.Said {
+		if w.Ago < 0 || len(w.Box) > nameMost {
+			return false
+		}
+	}
+	return len(s.Classes) <= ClassesMost && len(s.Said) <= probes.SaidMost && s.Shed >= 0 && s.Shed <= ClassesMost && len(s.Tenants) <= 4*TenantsMost && s.Boxes >= 0 && s.Boxes <= BoxesMost &&
+		possible(Summary{Capacity: s.Capacity, Running: s.Free, Level: s.Level, First: s.First, Further: s.Further, Classes: s.Classes})
+}
+
+// leads tells whether this box's level is the fleet's: of the boxes that sum up and are heard it is the first by name.
+func (x *Exchange) leads(now time.Duration, p Place) bool {
+	if !slices.Contains(p.Relays, p.Self) {
+		return false
+	}
+	for r, q := range x.parts {
+		if r < p.Self && now-q.at <= fresh {
+			return false
+		}
+	}
+	return true
 }
 
 // Sums are those of the whole fleet as this box has them now.
@@ -196,7 +226,12 @@
 	if x.all.at == 0 && x.all.seq == 0 {
 		return shed.Sums{Known: p.Known}
 	}
+	s.Lead = x.leads(now, p)
 	s.Age = now - x.all.at
+	s.Said = slices.Clone(s.Said)
+	for i := range s.Said {
+		s.Said[i].Ago += s.Age
+	}
 	if !x.own.Full {
 		s.Free = max(0, s.Free-max(0, x.own.Capacity-x.own.Running)) // what this box has free is not elsewhere
 	}
--- a/internal/fleet/view/load.go
+++ b/internal/fleet/view/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cairnlane/internal/decide/probes"
 	"cairnlane/internal/decide/shed"
 )
 
@@ -25,12 +26,14 @@
 	Totals Totals
 	Rules  *shed.Rules   // nil: the fleet sheds nothing
 	Later  time.Duration // the longest that a caller may be asked to stay away
+	Said   *probes.Said  // what it has found itself of what all depend on
 	Out    bool          // the box is shut out: it says nothing and goes by nothing
 }
 
 // Tick is called each Each. It returns what is to be sent.
 func (l *Load) Tick(now time.Duration, t Turn) (out []Out) {
 	l.Own = l.meter.Read(now, t.Totals)
+	l.Own.Said = t.Said
 	if !t.Out {
 		out = l.exchange.Tick(now, t.Place, l.Own)
 	}
@@ -44,7 +47,7 @@
 	if a.Level != was {
 		l.Level = now
 	}
-	l.Advice = &a
+	l.Advice, l.exchange.level = &a, a.Level
 	return out
 }
 
--- a/internal/fleet/view/meter.go
+++ b/internal/fleet/view/meter.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cairnlane/internal/replica"
 )
 
 // Totals are what a box has counted since its process began.
@@ -19,6 +21,20 @@
 	Tenants        map[string]uint64 // first tries
 }
 
+// TotalsOf are those of a replica, with its free value.
+func TotalsOf(f replica.Figures, level float64) Totals {
+	t := Totals{First: uint64(max(0, f.Read-f.Further)), Further: uint64(f.Further), Advised: uint64(f.Beyond), Busy: f.Busy, Level: level, Tenants: make(map[string]uint64, len(f.Tenants))}
+	for _, c := range f.Classes {
+		t.Served, t.Late, t.Refused = t.Served+uint64(c.Served), t.Late+uint64(c.Late), t.Refused+uint64(c.Refused)
+		t.Classes = append(t.Classes, uint64(c.Wanted))
+	}
+	t.Refused -= min(t.Refused, t.Advised)
+	for name, n := range f.Wanted {
+		t.Tenants[name] = uint64(n)
+	}
+	return t
+}
+
 // Meter makes summaries from totals. The zero value is ready; it is not safe for use by several goroutines.
 type Meter struct {
 	last Totals
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"cairnlane/internal/decide/probes"
 	"cairnlane/internal/decide/shed"
 )
 
@@ -23,8 +24,9 @@
 	Level    float64            `cbor:"12,keyasint" json:"level"` // its free value
 	First    float64            `cbor:"5,keyasint" json:"first"`
 	Further  float64            `cbor:"6,keyasint" json:"further"`
-	Classes  []float64          `cbor:"7,keyasint" json:"classes"`           // first tries, in the order of the settings
-	Tenants  map[string]float64 `cbor:"8,keyasint" json:"tenants,omitempty"` // first tries, of the greatest
+	Classes  []float64          `cbor:"7,keyasint" json:"classes"`                   // first tries, in the order of the settings
+	Tenants  map[string]float64 `cbor:"8,keyasint" json:"tenants,omitempty"`         // first tries, of the greatest
+	Said     *probes.Said       `cbor:"13,keyasint,omitempty" json:"said,omitempty"` // what it has found itself of what all depend on
 }
 
 // The bounds of a view.
@@ -51,7 +53,7 @@
 
 // Take keeps what a box says. It tells false for what is left out: what is impossible, late, or of an earlier incarnation.
 func (v *View) Take(now time.Duration, box string, s Summary) bool {
-	if !possible(s) || len(box) > nameMost {
+	if !possible(s) || len(box) > nameMost || s.Said != nil && s.Said.Box != box { // a box says what it has found itself
 		return false
 	}
 	was, known := v.boxes[box]
@@ -80,6 +82,9 @@
 			return false
 		}
 	}
+	if s.Said != nil && (s.Said.Ago < 0 || len(s.Said.Box) > nameMost) {
+		return false
+	}
 	for name, o := range s.Tenants {
 		if len(name) > nameMost || !number(o) {
 			return false
@@ -113,6 +118,9 @@
 			out.Boxes++
 		}
 		out.Age = max(out.Age, min(now-h.at, fresh))
+		if h.Said != nil {
+			out.Said = append(out.Said, older(*h.Said, now-h.at))
+		}
 		capacity := min(h.Capacity, cap)
 		// All that it is offered is scaled together, so that the parts still add up.
 		offered := weight
@@ -120,6 +128,7 @@
 			offered *= mostOffered * capacity / o
 		}
 		out.Capacity += weight * capacity
+		out.Level += weight * capacity * min(h.Level, 1)
 		out.First += offered * h.First
 		out.Further += offered * h.Further
 		if box != self && !h.Full {
@@ -135,5 +144,13 @@
 			out.Tenants[name] += offered * min(o, h.First+h.Further)
 		}
 	}
+	out.Said = probes.Newest(out.Said)
+	out.Level /= max(out.Capacity, 1e-9)
 	return out
 }
+
+// older is a word that was heard a while ago.
+func older(s probes.Said, by time.Duration) probes.Said {
+	s.Ago += by
+	return s
+}
--- /dev/null
+++ b/internal/lab/model/sweep.go
@@ -0,0 +1,194 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// Sweep is a table of days: each case with each mode over the same seeds.
+type Sweep struct {
+	Site  Site
+	Boxes int
+	Seeds int
+	From  uint64 // the first seed
+	Span  time.Duration
+	Cases []Case
+}
+
+// Row is what came of a case.
+type Row struct {
+	Case
+	Boxes   int
+	Seeds   int
+	Results map[Mode][]Result      // by seed
+	Settled map[Mode]time.Duration // in the mean, after the fault
+}
+
+// Mean is a figure's over the seeds.
+func (r Row) Mean(m Mode, of func(Result) float64) (mean float64) {
+	for _, x := range r.Results[m] {
+		mean += of(x) / float64(len(r.Results[m]))
+	}
+	return mean
+}
+
+// Gain is by how much one mode's worth is above another's over paired seeds: the mean, and half of its 95% confidence interval.
+func (r Row) Gain(m, over Mode) (mean, half float64) {
+	var diffs []float64
+	for i, x := range r.Results[m] {
+		diffs = append(diffs, x.Of()-r.Results[over][i].Of())
+	}
+	return Interval(diffs)
+}
+
+// student is the 97.5% point of Student's t for n-1 degrees of freedom, for small n.
+var student = []float64{0, 0, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13}
+
+// Interval is a mean and half of its 95% confidence interval.
+func Interval(list []float64) (mean, half float64) {
+	n := float64(len(list))
+	for _, d := range list {
+		mean += d / n
+	}
+	if len(list) < 2 {
+		return mean, math.Inf(1)
+	}
+	var sum float64
+	for _, d := range list {
+		sum += (d - mean) * (d - mean)
+	}
+	t := 1.96
+	if len(list) < len(student) {
+		t = student[len(list)]
+	}
+	return mean, t * math.Sqrt(sum/(n-1)/n)
+}
+
+// Run plays it on all cores. What comes out does not depend on how many there are.
+func (s Sweep) Run(progress io.Writer) []Row {
+	rows := make([]Row, len(s.Cases))
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var mu sync.Mutex
+	done := 0
+	for i, c := range s.Cases {
+		rows[i] = Row{Case: c, Boxes: s.Boxes, Seeds: s.Seeds, Results: map[Mode][]Result{}, Settled: map[Mode]time.Duration{}}
+		for _, m := range []Mode{Alone, Fleet, Cut} {
+			rows[i].Results[m] = make([]Result, s.Seeds)
+			for k := range s.Seeds {
+				wait.Go(func() {
+					slots <- struct{}{}
+					defer func() { <-slots }()
+					d := c.Day(s.Site, s.Boxes, s.Span, s.From+uint64(k), m)
+					r := Play(d)
+					mu.Lock()
+					defer mu.Unlock()
+					rows[i].Results[m][k] = r
+					if from, to, ok := d.Fault(); ok {
+						rows[i].Settled[m] += r.Settles(from, to, 0.9) / time.Duration(s.Seeds)
+					}
+					done++
+					if progress != nil && done%50 == 0 {
+						fmt.Fprintf(progress, "%d of %d days\n", done, 3*s.Seeds*len(s.Cases))
+					}
+				})
+			}
+		}
+	}
+	wait.Wait()
+	return rows
+}
+
+// Table prints rows.
+func Table(w io.Writer, rows []Row) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "BOXES\tCASE\tLOAD\tALONE\tFLEET\tCUT\tGAIN\t±\tWORST CLASS\tTRIES\tLET IN\tSETTLED\tLEVELS\tPROBES/S\tMESSAGES\tBYTES")
+	for _, r := range rows {
+		worth := func(x Result) float64 { return x.Of() }
+		tries := func(x Result) float64 { return float64(x.Tries) / float64(max(x.Requests, 1)) }
+		gain, half := r.Gain(Fleet, Alone)
+		fmt.Fprintf(t, "%d\t%s\t%.0f%%\t%.3f\t%.3f\t%.3f\t%+.3f\t%.3f\t%.2f/%.2f\t%.2f/%.2f\t%.3f/%.3f\t%.1f/%.1fs\t%d\t%.1f/%.1f\t%.1f\t%.0f\n", r.Boxes, r.Name, 100*r.Of, r.Mean(Alone, worth), r.Mean(Fleet, worth), r.Mean(Cut, worth), gain, half,
+			r.Mean(Alone, func(x Result) float64 { return x.WorstClass }), r.Mean(Fleet, func(x Result) float64 { return x.WorstClass }), r.Mean(Alone, tries), r.Mean(Fleet, tries),
+			r.Mean(Alone, letIn), r.Mean(Fleet, letIn), r.Settled[Alone].Seconds(), r.Settled[Fleet].Seconds(), r.Levels(),
+			r.Mean(Alone, func(x Result) float64 { return x.Probes }), r.Mean(Fleet, func(x Result) float64 { return x.Probes }), r.Mean(Fleet, func(x Result) float64 { return x.Messages }), r.Mean(Fleet, func(x Result) float64 { return x.Bytes }))
+	}
+	t.Flush()
+}
+
+func letIn(x Result) float64 { return float64(x.LetIn) / float64(max(x.Requests, 1)) }
+
+// Levels is how often a box's level changed within 10 s, at the most.
+func (r Row) Levels() (n int) {
+	for _, x := range r.Results[Fleet] {
+		n = max(n, x.LevelChanges)
+	}
+	return n
+}
+
+// Figures are what a sweep comes to.
+type Figures struct {
+	Days, Lost, Twice, DoubleRuns, Broken, Levels int
+	Worth                                         map[string][3]float64 // of the steady loads: alone, fleet, cut
+	Least                                         map[string]float64    // gain over alone, less its interval
+	CutLeast                                      float64               // by how much a fleet that is cut is worse than alone, at the worst case
+	HardLeast                                     float64               // gain in the worst hard case
+	HardWorst                                     string
+}
+
+// Sum works them out.
+func Sum(rows []Row) Figures {
+	f := Figures{Worth: map[string][3]float64{}, Least: map[string]float64{}, HardLeast: math.Inf(1)}
+	for _, r := range rows {
+		for _, list := range r.Results {
+			for _, x := range list {
+				f.Days++
+				f.Lost, f.Twice, f.DoubleRuns, f.Broken = f.Lost+x.Lost, f.Twice+x.Twice, f.DoubleRuns+x.DoubleRuns, f.Broken+len(x.Broken)
+			}
+		}
+		f.Levels = max(f.Levels, r.Levels())
+		worth := func(x Result) float64 { return x.Of() }
+		gain, half := r.Gain(Fleet, Alone)
+		cut, _ := r.Gain(Cut, Alone)
+		f.CutLeast = min(f.CutLeast, cut)
+		if r.Make == nil {
+			f.Worth[r.Name] = [3]float64{r.Mean(Alone, worth), r.Mean(Fleet, worth), r.Mean(Cut, worth)}
+			f.Least[r.Name] = gain - half
+		} else if gain < f.HardLeast {
+			f.HardLeast, f.HardWorst = gain, r.Name
+		}
+	}
+	return f
+}
+
+// Missed are the bounds that are missed: the gain of a fleet at 110 and 150% with its interval, and the rules.
+func (f Figures) Missed() (list []string) {
+	for _, b := range []struct {
+		name string
+		bad  bool
+	}{{"lost", f.Lost > 0}, {"answered twice", f.Twice > 0}, {"double runs", f.DoubleRuns > 0}, {"broken", f.Broken > 0}, {"more than one change of the level in 10 s", f.Levels > 1},
+		{"worse than alone by over 0.01 with the view cut", f.CutLeast < -0.01}, {"worse than alone by over 0.02 in a hard case: " + f.HardWorst, f.HardLeast < -0.02},
+		{"gain at 110%", has(f.Least, "110%") && f.Least["110%"] < 0.03}, {"gain at 150%", has(f.Least, "150%") && f.Least["150%"] < 0.03}} {
+		if b.bad {
+			list = append(list, b.name)
+		}
+	}
+	return list
+}
+
+func has(m map[string]float64, k string) bool { _, ok := m[k]; return ok }
+
+// String is the line of figures.
+func (f Figures) String() string {
+	w := func(load string) string {
+		x := f.Worth[load]
+		n := load[:len(load)-1]
+		return fmt.Sprintf("worth_%s=%.3f worth_alone_%s=%.3f worth_cut_%s=%.3f", n, x[1], n, x[0], n, x[2])
+	}
+	return fmt.Sprintf("figures: days=%d %s %s %s gain_110_least=%.3f gain_150_least=%.3f hard_least=%.3f cut_least=%.3f level_changes_per_10s_max=%d lost=%d ended_twice=%d double_runs=%d", f.Days, w("90%"), w("110%"), w("150%"),
+		f.Least["110%"], f.Least["150%"], f.HardLeast, f.CutLeast, f.Levels, f.Lost, f.Twice, f.DoubleRuns)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -150,6 +150,7 @@
 	healthy bool
 	oldest  time.Duration // no request that is read came longer ago
 	draw    func() float64
+	manners shed.Manners
 }
 
 type counts struct {
@@ -254,7 +255,7 @@
 		req.id = r.nextID
 		r.live[req.id], r.txns[q.Txn] = req, req
 		r.figures.came(req)
-		req.others = r.othersFor(req)
+		req.others = r.othersFor(now, req)
 		if k == nil && r.shared.possible && req.class.Semantics == policy.Keyed {
 			r.ask(now, req)
 			return
@@ -277,14 +278,22 @@
 // Advise has requests that are read from now on decided with what the fleet advises, until the next call; nil ends it. Those that were
 // read before keep what they were read under. The value is not changed afterwards.
 func (r *Replica) Advise(a *shed.Advice) {
-	if a != nil && a.Trust == 0 {
-		a = nil
-	}
 	r.advice.Store(a)
+	mean := 0.0
+	if a != nil {
+		mean = a.Trust * a.Mean
+	}
+	r.enter(func(time.Duration) { r.call(func() { r.ctl.Others(mean) }) })
+}
+
+// Level is what the module by itself would have callers hold back.
+func (r *Replica) Level() (level float64) {
+	r.enter(func(time.Duration) { level = r.ctl.Level() })
+	return level
 }
 
 // othersFor is the fleet's word on a request, in the module's terms.
-func (r *Replica) othersFor(req *request) policy.Others {
+func (r *Replica) othersFor(now time.Duration, req *request) policy.Others {
 	a := r.advice.Load()
 	if a == nil {
 		return policy.Others{}
@@ -292,7 +301,12 @@
 	if r.draw == nil { // of its own, so that the module's chances are the same with a fleet and without
 		r.draw = rand.New(rand.NewPCG(uint64(r.cfg.Policy.Seed), adviceStream)).Float64
 	}
+	r.manners.Told(now, r.signal.Value)
+	r.figures.want(req, r.signal.Value)
 	w := a.For(req.Tenant, req.place, req.Retry, r.draw)
+	if r.manners.Saw(req.Caller, req.Rank) {
+		w.Beyond, w.Order = false, shed.Ordinary
+	}
 	return policy.Others{Version: w.Version, Known: w.Known, Full: w.Full, Return: w.Return, Beyond: w.Beyond, Order: w.Order}
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -118,7 +118,7 @@
 	Full    bool          // none of them could serve the request
 	Return  time.Duration // when its caller is to come back, drawn so that not all come at once
 	Beyond  bool          // a further try, beyond those that all servers together take
-	Order   int           // 0, 1 or 2: the higher ones are refused first where some must be
+	Order   int           // 1 and 2 are refused before the rest: 2 at the least pressure, 1 once many are refused
 }
 
 // Outcome tells how a run or a call ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,9 @@
 	seenMost      = 50   // most that a caller's usual patience counts for: habits change
 	levelShare    = 0.9  // share of p that callers are asked to hold back; the dice take the rest
 	signalStep    = 0.01 // smallest change of the signal that is worth saying
+	levelApart    = 0.3  // by how much more than the mean of all servers one in trouble asks for
+	commonFrom    = 0.1  // mean above which they come to ask for the same, fully a commonOver further
+	commonOver    = 0.2
 	lastAbove     = 0.1  // p above which a refused caller is asked not to try elsewhere
 	repeatsAbove  = 0.15 // share of repeats among arrivals above which the neighbours refuse as well
 	heedShare     = 0.8  // share of callers taken to do as asked
@@ -146,10 +149,9 @@
 	stats                      []sizeStat
 	completions, latencySum    float64
 	meanRun, onCores           float64
-	meanDensity                float64    // worth for work of the mean arrival
-	sameCaller                 float64    // chance that two arrivals share a caller: 1 / callers that count
-	sooner                     [4]float64 // share of arrivals whose Order is that place or a later one
-	repeats, lastShare         float64    // of arrivals: tried before; of refusals: asked not to try again
+	meanDensity                float64 // worth for work of the mean arrival
+	sameCaller                 float64 // chance that two arrivals share a caller: 1 / callers that count
+	repeats, lastShare         float64 // of arrivals: tried before; of refusals: asked not to try again
 	lastCaller                 int
 	calls, callRetry, lingerer queue
 	callMean                   float64
@@ -166,7 +168,7 @@
 	draining        bool
 	drainAt, stopAt time.Duration // stopAt is 0 while no stop is known
 	share           float64       // of the server, where another process of it runs work as well
-	signal          float64
+	signal, mean    float64       // what callers are to hold back, here and in the mean of all servers
 }
 
 // New returns the controller of a server that starts now; its error names a setting no server could have.
@@ -182,8 +184,7 @@
 	cfg.RunFactor, cfg.FallFactor = max(cfg.RunFactor, 1), max(cfg.FallFactor, 1)
 	c := &Controller{cfg: cfg, host: host, now: now, began: now, ticked: now, resized: now, lastStart: now,
 		rng: uint64(cfg.Seed), live: map[RequestID]*request{}, keys: map[RequestID]bool{},
-		callers: map[int]*caller{}, reuse: 1, share: 1, signal: -1, refused: map[RequestID]bool{},
-		sooner: [4]float64{1}}
+		callers: map[int]*caller{}, reuse: 1, share: 1, signal: -1, refused: map[RequestID]bool{}}
 	tightest := time.Duration(math.MaxInt64)
 	for i, k := range cfg.Classes {
 		if k.Aim <= 0 || k.Deadline <= 0 {
@@ -309,11 +310,13 @@
 
 // guarded tells whether a rule or plain arithmetic forbids holding r, whatever the dice say.
 func (c *Controller) guarded(r *request) bool {
-	switch {
+	switch o := r.Others; {
 	case c.draining && r.arrived > c.drainAt+c.cfg.DrainGrace: // rule 3
 		return true
-	case c.tooLate(r) || c.doomed(r) || r.Others.Beyond:
+	case c.tooLate(r) || c.doomed(r):
 		return true
+	case o.Beyond || o.Order > 1 && c.ahead.dropProb > 0 || o.Order > 0 && c.dropProb > lastAbove:
+		return true // first, so that callers need not hold back the rest
 	case c.memory+c.keyCost(r) > c.memoryLimit(): // rule 4, and rule 2: no room to remember it
 		return true
 	case c.keyCost(r) > 0 && float64(len(c.keys)+1)*c.cfg.KeyKB > keyShare*c.cfg.MemoryKB:
@@ -328,7 +331,7 @@
 	if c.burstAllowed > 0 {
 		return false
 	}
-	p, floor := c.inOrder(r)*c.lean(r.class), 0.0
+	p, floor := c.dropProb*c.lean(r.class), 0.0
 	if c.cfg.Signal == RankFloor && !c.draining {
 		floor = min(max(c.signal, 0), p)
 	}
@@ -338,13 +341,6 @@
 	return c.random()*(1-floor) < p-floor
 }
 
-// inOrder is PIE's chance for r: what the other servers' word puts first goes first, at the same mean rate.
-// That word says who is refused and never how much; without it all are alike.
-func (c *Controller) inOrder(r *request) float64 {
-	before, upTo := c.sooner[r.Others.Order+1], c.sooner[r.Others.Order]
-	return min(max((c.dropProb-before)/max(upTo-before, meanWeight), 0), 1)
-}
-
 // lean lowers the chance of classes that earn more for their work than the mean, to the inverse of their
 // lead; PIE makes up for it on the rest. Classes under the mean stay alike, so that none is starved.
 func (c *Controller) lean(k *class) float64 {
@@ -366,9 +362,6 @@
 func (c *Controller) observe(r *request) {
 	count(&c.sameCaller, r.Caller == c.lastCaller)
 	count(&c.repeats, r.Retry)
-	for place := 1; place < len(c.sooner)-1; place++ {
-		count(&c.sooner[place], r.Others.Order >= place)
-	}
 	c.lastCaller = r.Caller
 	if r.class.meanRun > 0 {
 		average(&c.meanDensity, c.density(r.class))
@@ -821,9 +814,9 @@
 // to try elsewhere where repeats, if marked, tell that the neighbours refuse too: what one slow or cold
 // server of many refuses is not lost. Harm: reads elsewhere, until the repeats are seen.
 func (c *Controller) refuse(r *request) {
-	crowded := c.ahead.dropProb > lastAbove && c.refusedElsewhere() > repeatsAbove
-	if r.Others.Known {
-		crowded = r.Others.Full
+	o, crowded := r.Others, c.ahead.dropProb > lastAbove && c.refusedElsewhere() > repeatsAbove
+	if o.Known {
+		crowded = o.Full
 	}
 	advice := Advice{Last: !c.draining && (crowded || c.now > r.aimAt), Version: r.Others.Version}
 	count(&c.lastShare, advice.Last)
@@ -834,9 +827,9 @@
 		free := time.Duration(c.startTime / max(c.startSum, 1) * float64(time.Second))
 		advice.HoldOff = min(free, c.cfg.MaxHoldOff)
 	}
-	elsewhere := !mute && !c.draining && !r.Others.Full && c.ahead.dropProb > lastAbove // others have room
-	if r.Others.Known && (elsewhere || advice.HoldOff > 0) {
-		advice.HoldOff = min(r.Others.Return, c.cfg.MaxHoldOff)
+	elsewhere := !mute && !c.draining && !o.Full && c.ahead.dropProb > lastAbove // others have room
+	if o.Known && (elsewhere || advice.HoldOff > 0) {
+		advice.HoldOff = min(o.Return, c.cfg.MaxHoldOff)
 	}
 	c.host.Refuse(r.ID, advice)
 	c.drop(r)
@@ -980,7 +973,7 @@
 	case NoSignal:
 		return
 	case RankFloor:
-		value = max(0, c.ahead.dropProb-c.sooner[1]) * levelShare // those put first are refused here
+		value = c.common(c.Level())
 		if leaving {
 			value = 1
 		}
@@ -999,6 +992,18 @@
 	}
 }
 
+// Level is the part of all requests, by rank, that this server would by itself have callers hold back.
+func (c *Controller) Level() float64 { return c.ahead.dropProb * levelShare }
+
+// Others tells what all servers would have callers hold back, in the mean; 0 where nothing is known.
+func (c *Controller) Others(mean float64) { c.mean = mean }
+
+// common draws what callers are told to the mean of the servers. It guards against a herd: callers leave one
+// that asks for more, so each is by turns empty and flooded. One that is far worse off still says so.
+func (c *Controller) common(own float64) float64 {
+	return own + min(max((c.mean-commonFrom)/commonOver, 0), 1)*(max(c.mean, own-levelApart)-own)
+}
+
 // ---- bookkeeping ----
 
 func (c *Controller) begin(now time.Duration) {
