Have boxes ask the catalog and reconnect to engines by their fleet's word

Need: in an outage each box asks by its own clock, so questions grow with the fleet just when something is down.

Change: the reporter and the link to the engine take a pace through one small interface each; without one they are as before. A box that leaves reports by the period whatever the pace says. cairnctl fleet load shows verdict and pace.

--- a/cmd/cairnctl/fleet.go
+++ b/cmd/cairnctl/fleet.go
@@ -248,6 +248,9 @@
 	v := s.Fleet
 	fmt.Fprintf(t, "boxes heard\t%d of %d, %v ago\ncapacity\t%.0f a second, %.0f free elsewhere\nfirst tries\t%.0f a second\nfurther tries\t%.0f a second\nthis box\t%.0f of %.0f a second, %.0f served, %.0f refused\n",
 		v.Boxes, v.Known, v.Age.Round(time.Millisecond), v.Capacity, v.Free, v.First, v.Further, s.Own.First+s.Own.Further, s.Own.Capacity, s.Own.Running, s.Own.Refused)
+	if p := s.Pacing; p != nil {
+		fmt.Fprintf(t, "catalog\t%s, this box reports each %s, %d so far, the prober: %v\n", p.Verdict, p.Every, p.Asked, p.Prober)
+	}
 	a := s.Advice
 	if a == nil {
 		fmt.Fprintln(t, "sheds\tnothing as one: the configuration in force has no overload block, or this box is shut out")
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -193,6 +193,7 @@
 		b.fleet.mu.Lock()
 		b.fleet.replica = r
 		b.fleet.mu.Unlock()
+		r.Pace(b.fleet.pacer, b.fleet.pacer.Reconnect)
 	}
 	var err error
 	if b.ctl, err = control.Listen(b.cfg.Control, &state{box: b, replica: r, since: clock.Wall()}); err != nil {
--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -24,6 +24,7 @@
 	"cairnlane/internal/decide/lease"
 	"cairnlane/internal/decide/rollout"
 	"cairnlane/internal/decide/shed"
+	"cairnlane/internal/engine"
 	"cairnlane/internal/faultfs"
 	"cairnlane/internal/fleet"
 	"cairnlane/internal/fleet/ledger"
@@ -42,6 +43,7 @@
 	desk  *fleet.Desk
 	stop  context.CancelFunc
 	audit *audit.Log
+	pacer *fleet.Pacer
 
 	mu      sync.Mutex
 	replica *daemon.Replica // once it serves
@@ -134,8 +136,9 @@
 		f.log.Error().Str("wrong", wrong).Msg("configurations of the fleet are damaged; they are fetched anew")
 	}
 	served, refused, failed := set.Get("answers_served"), set.Get("answers_refused"), set.Get("answers_failed")
+	f.pacer = fleet.NewPacer(f.cfg.Site.Name, clock.Boot, engine.Pause)
 	f.Fleet, err = fleet.Open(fleet.Config{Audit: f.audit, Acts: f.acts(), Number: Number(), Configs: store, Check: f.checkNumbered,
-		Load: f.totals, Overload: f.overload, Advise: f.advise, Later: f.cfg.Site.Policy.MaxHoldOff,
+		Load: f.totals, Overload: f.overload, Advise: f.advise, Pacer: f.pacer, Later: f.cfg.Site.Policy.MaxHoldOff,
 		Served: func() (good, bad uint64) { return uint64(served.Load()), uint64(refused.Load() + failed.Load()) },
 		Name:   f.cfg.Site.Name, Listen: c.Listen, Peers: c.Addresses(), KeyFile: c.KeyFile, Dir: filepath.Join(f.cfg.State, "fleet"),
 		Build: Build(), Timing: timing(c), Now: clock.Boot, Told: func(format string, args ...any) { f.log.Warn().Msg("fleet: " + fmt.Sprintf(format, args...)) }}, set)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,6 +22,15 @@
 	timeout = 500 * time.Millisecond
 )
 
+// Pace says when to report. Its methods do not wait. Without one a report goes out each Period.
+type Pace interface {
+	Due() bool // asked each look; whoever is told yes reports, and tells what came of it
+	Told(ok bool)
+}
+
+// look is how often a pace is asked.
+const look = 50 * time.Millisecond
+
 // Reporter reports a name as passing, or as critical once it leaves.
 type Reporter struct {
 	name    string
@@ -29,6 +38,7 @@
 	moved   chan struct{} // the address is another one now
 	client  http.Client
 	leaving atomic.Bool
+	pace    atomic.Pointer[Pace]
 	sent    *counters.Counter
 	failed  *counters.Counter
 }
@@ -58,6 +68,35 @@
 	}
 }
 
+// Pace has reports go out when p says so, from the next one on.
+func (r *Reporter) Pace(p Pace) { r.pace.Store(&p) }
+
+// wait returns when a report is due; false means that ctx has ended. A box that leaves goes by the period: its last report must get out.
+func (r *Reporter) wait(ctx context.Context, tick *time.Ticker) bool {
+	for {
+		p := r.pace.Load()
+		if p == nil || r.leaving.Load() {
+			select {
+			case <-tick.C:
+			case <-r.moved:
+			case <-ctx.Done():
+				return false
+			}
+			return true
+		}
+		select {
+		case <-time.After(look):
+			if (*p).Due() {
+				return true
+			}
+		case <-r.moved:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Leave makes the next report the last: the entry lapses by itself.
 func (r *Reporter) Leave() { r.leaving.Store(true) }
 
@@ -68,7 +107,11 @@
 	defer tick.Stop()
 	for {
 		last := r.leaving.Load()
-		if err := r.report(ctx, last); err != nil {
+		err := r.report(ctx, last)
+		if p := r.pace.Load(); p != nil {
+			(*p).Told(err == nil)
+		}
+		if err != nil {
 			r.failed.Inc()
 		} else {
 			r.sent.Inc()
@@ -76,10 +119,7 @@
 				return
 			}
 		}
-		select {
-		case <-tick.C:
-		case <-r.moved:
-		case <-ctx.Done():
+		if !r.wait(ctx, tick) {
 			return
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 	Counters *counters.Set
 	signals  chan os.Signal
 	process  *process
+	service  *service
 }
 
 // Drain has the replica leave, as SIGTERM does.
@@ -78,6 +79,12 @@
 // Advise has requests that are read from now on decided with what the box's fleet advises; nil ends it. It waits for nobody.
 func (r *Replica) Advise(a *shed.Advice) { r.process.Replica.Advise(a) }
 
+// Pace has the box ask what all boxes depend on when its fleet says so: reports to the catalog, and tries to reconnect to its engine.
+func (r *Replica) Pace(reports catalog.Pace, reconnects func(try int) time.Duration) {
+	r.service.reporter.Pace(reports)
+	r.service.engine.Pauses(reconnects)
+}
+
 // Level is what the module by itself would have callers hold back.
 func (r *Replica) Level() float64 { return r.process.Replica.Level() }
 
@@ -243,7 +250,7 @@
 		go func(failed chan<- error) { failed <- s.server.Serve() }(s.failed)
 		go s.reporter.Keep(ctx)
 		if s.started != nil {
-			s.started(&Replica{Name: s.cfg.Name, Addr: s.server.Addr(), Counters: s.set, signals: s.signals, process: s.process})
+			s.started(&Replica{Name: s.cfg.Name, Addr: s.server.Addr(), Counters: s.set, signals: s.signals, process: s.process, service: s})
 		}
 		log.Printf("%s serves at %s", s.cfg.Name, s.server.Addr())
 	}
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -39,6 +39,7 @@
 	// retireTime is how long a link that is replaced may take to end by itself.
 	retireTime time.Duration
 
+	pauses atomic.Pointer[func(try int) time.Duration]
 	output atomic.Int64 // bound on what waits to be written
 
 	reading sync.Mutex // held while notices are told: an old link never tells beside a new one
@@ -82,12 +83,26 @@
 	return l.addr
 }
 
+// Pauses has pause say how long to wait before a try to reconnect, counted from 0; it must not wait itself. Without it the time doubles
+// from 10 to 100 ms.
+func (l *Link) Pauses(pause func(try int) time.Duration) { l.pauses.Store(&pause) }
+
+func (l *Link) pause(try int) time.Duration {
+	if p := l.pauses.Load(); p != nil {
+		return (*p)(try)
+	}
+	return Pause(try)
+}
+
+// Pause is how long a lone box waits before a try to reconnect.
+func Pause(try int) time.Duration { return min(firstPause<<min(try, 10), lastPause) }
+
 // Keep opens the link, opens it again whenever it breaks and moves it, until ctx ends. Events come from
 // the connection's callbacks and never before Keep is called.
 func (l *Link) Keep(ctx context.Context, events Events) {
 	l.events = events
 	var open *connection
-	for pause := firstPause; ctx.Err() == nil; {
+	for try := 0; ctx.Err() == nil; try++ {
 		began := time.Now()
 		if conn, err := netpoll.DialConnection("tcp", l.address(), dialTimeout); err == nil {
 			l.retire(open)
@@ -97,20 +112,20 @@
 				l.lost.Inc()
 				open = nil
 			case <-l.moved:
+				try = -1
 				continue
 			case <-ctx.Done():
 				return
 			}
 		}
 		if time.Since(began) > lastPause {
-			pause = firstPause
+			try = 0
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(l.pause(try)):
 		case <-l.moved:
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, lastPause)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	// Overload reads the rules of shedding out of a configuration of a number; nil where it has none.
 	Overload func(n uint64, body []byte) *shed.Rules
 	Advise   func(*shed.Advice) // takes what the fleet advises, nil for nothing; it must not wait. It may be nil
+	Pacer    *Pacer             // when this box asks what all depend on; may be nil
 	Later    time.Duration      // the longest that a caller may be asked to stay away
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -49,6 +49,12 @@
 var terms = lease.Terms{Term: 2 * time.Second, Drift: 0.01}
 
 func begin(t *testing.T) *alone {
+	t.Helper()
+	return beginWith(t, func(*Config) {})
+}
+
+// beginWith begins one whose configuration is changed before.
+func beginWith(t *testing.T, change func(*Config)) *alone {
 	t.Helper()
 	dir := t.TempDir()
 	key := filepath.Join(dir, "fleet.key")
@@ -65,9 +71,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Fleet, err = Open(Config{Configs: store, Number: 1, Check: a.check, Audit: log, Acts: audit.Build{Program: "test"}, Name: "a", Listen: "127.0.0.1:0", Peers: map[string]string{"a": ""}, KeyFile: key, Dir: filepath.Join(dir, "fleet"), Build: "test",
-		Timing: ledger.Timing{Beat: 20 * time.Millisecond, Election: 100 * time.Millisecond, Poll: 100 * time.Millisecond, Gather: time.Millisecond}, Now: a.now, Told: t.Logf}, &a.set)
-	if err != nil {
+	cfg := Config{Configs: store, Number: 1, Check: a.check, Audit: log, Acts: audit.Build{Program: "test"}, Name: "a", Listen: "127.0.0.1:0", Peers: map[string]string{"a": ""}, KeyFile: key, Dir: filepath.Join(dir, "fleet"), Build: "test",
+		Timing: ledger.Timing{Beat: 20 * time.Millisecond, Election: 100 * time.Millisecond, Poll: 100 * time.Millisecond, Gather: time.Millisecond}, Now: a.now, Told: t.Logf}
+	change(&cfg)
+	if a.Fleet, err = Open(cfg, &a.set); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(a.Close)
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cairnlane/internal/decide/probes"
 	"cairnlane/internal/decide/shed"
 	"cairnlane/internal/decide/straggler"
 	"cairnlane/internal/fleet/view"
@@ -16,6 +18,8 @@
 	view.Load
 	rules *shed.Rules // of the configuration that is in force
 	n     uint64      // its number
+
+	pacing *Pacing
 }
 
 // LoadStatus is how the fleet is loaded, as a box knows it.
@@ -27,6 +31,7 @@
 	Since  string       `json:"level_since,omitempty"`
 	// Refused counts what this box has refused by the fleet's word.
 	Refused Refused `json:"refused"`
+	Pacing  *Pacing `json:"pacing,omitempty"`
 }
 
 // Refused counts refusals by the fleet's word.
@@ -40,7 +45,7 @@
 func (f *Fleet) Load() LoadStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := LoadStatus{Own: f.load.Own, Fleet: f.load.Sums, Rules: f.load.rules, Advice: f.load.Advice, Refused: Refused{f.set.Get("refused_over_share").Load(), f.set.Get("refused_low_class").Load(), f.set.Get("refused_beyond_tries").Load()}}
+	s := LoadStatus{Own: f.load.Own, Fleet: f.load.Sums, Rules: f.load.rules, Advice: f.load.Advice, Pacing: f.load.pacing, Refused: Refused{f.set.Get("refused_over_share").Load(), f.set.Get("refused_low_class").Load(), f.set.Get("refused_beyond_tries").Load()}}
 	if f.load.Level != 0 {
 		s.Since = (f.cfg.Now() - f.load.Level).Round(time.Second).String()
 	}
@@ -86,6 +91,7 @@
 func (f *Fleet) tellLoad(ctx context.Context) {
 	tick := time.NewTicker(view.Each)
 	defer tick.Stop()
+	var who prober
 	for {
 		select {
 		case <-ctx.Done():
@@ -95,7 +101,24 @@
 		totals := f.cfg.Load()
 		f.mu.Lock()
 		f.overload()
-		out := f.load.Tick(f.cfg.Now(), view.Turn{Place: f.place(), Totals: totals, Rules: f.load.rules, Later: f.cfg.Later, Out: f.node.Stands() == straggler.Out})
+		now, p, rules := f.cfg.Now(), f.place(), f.load.rules
+		heard := f.load.Sums.Said
+		f.mu.Unlock()
+		var said *probes.Said
+		if f.cfg.Pacer != nil {
+			boxes := 1
+			if rules != nil {
+				boxes = p.Known
+			}
+			probes := who.turn(f, now, rules != nil && slices.Contains(p.Relays, p.Self))
+			said = f.cfg.Pacer.turn(boxes, probes, heard)
+			pacing := f.cfg.Pacer.status(probes)
+			f.mu.Lock()
+			f.load.pacing = &pacing
+			f.mu.Unlock()
+		}
+		f.mu.Lock()
+		out := f.load.Tick(f.cfg.Now(), view.Turn{Place: p, Totals: totals, Rules: rules, Later: f.cfg.Later, Said: said, Out: f.node.Stands() == straggler.Out})
 		advice := f.load.Advice
 		f.mu.Unlock()
 		if f.cfg.Advise != nil {
--- a/internal/fleet/rollouts_test.go
+++ b/internal/fleet/rollouts_test.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// roll has a configuration numbered and rolled out.
+func (a *alone) roll(t *testing.T, body string) uint64 {
+	t.Helper()
+	n, err := a.PutConfig([]byte(body), "x")
+	if err == nil {
+		err = a.StartRoll(n, rollout.Plan{Canaries: 1, Share: 1, Patience: time.Minute, Slots: 1}, "x")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.settle(t, n)
+	return n
+}
+
 // TestAConfigurationIsRolledOutAndActedUnder: from the operator's file to the permit of an effect, and into the audit.
 func TestAConfigurationIsRolledOutAndActedUnder(t *testing.T) {
 	a := begin(t)
