Let chance not refuse what callers that heed nothing would have the next box read

There a refusal of a further try by a caller that goes on whatever it is told only moves the read to the next box.

Change: such a try has the place Last: PIE's chance does not refuse it; memory, crowd, drain and what comes too late do as before.

--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -58,7 +58,8 @@
 
 // The places in the order in which requests go where some must. Who is beyond a share goes before who is of a low class.
 const (
-	Ordinary  = iota
+	Last = iota - 1 // not by chance: refused here, it would be read at the next box
+	Ordinary
 	LowClass  // of a class below the fleet's level
 	OverShare // of a tenant, beyond its share
 )
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -306,6 +306,9 @@
 	w := a.For(req.Tenant, req.place, req.Retry, r.draw)
 	if r.manners.Saw(req.Caller, req.Rank) {
 		w.Beyond, w.Order = false, shed.Ordinary
+		if req.Retry {
+			w.Order = shed.Last
+		}
 	}
 	return policy.Others{Version: w.Version, Known: w.Known, Full: w.Full, Return: w.Return, Beyond: w.Beyond, Order: w.Order}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -118,7 +118,9 @@
 	Full    bool          // none of them could serve the request
 	Return  time.Duration // when its caller is to come back, drawn so that not all come at once
 	Beyond  bool          // a further try, beyond those that all servers together take
-	Order   int           // 1 and 2 are refused before the rest: 2 at the least pressure, 1 once many are refused
+	// Order is 2 for what is refused at the least pressure, 1 once many are refused, and -1 for what chance does
+	// not refuse, as it would be read again elsewhere.
+	Order int
 }
 
 // Outcome tells how a run or a call ended.
--- a/policy/others_test.go
+++ b/policy/others_test.go
@@ -23,6 +23,14 @@
 			}
 		}
 	}
+	for order, want := range map[int]string{0: "refuse 1", -1: "run 1"} { // what would be read again elsewhere is not refused by chance
+		ctl, h := start(t, testConfig())
+		ctl.dropProb, ctl.burstAllowed = 1, 0
+		ctl.Arrive(0, Request{ID: 1, KB: 1, Others: Others{Order: order}})
+		if got := h.take(); got != want {
+			t.Errorf("order %d with a chance of 1: %s", order, got)
+		}
+	}
 	ctl, h := start(t, testConfig())
 	ctl.ahead.dropProb = 1
 	ctl.Arrive(0, Request{ID: 1, Class: 1, KB: 1})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -328,7 +328,7 @@
 // dice is PIE's random refusal. Ranks below the floor said to callers go first, at the same mean
 // rate: those who heed it have paid already.
 func (c *Controller) dice(r *request) bool {
-	if c.burstAllowed > 0 {
+	if c.burstAllowed > 0 || r.Others.Order < 0 {
 		return false
 	}
 	p, floor := c.dropProb*c.lean(r.class), 0.0
