Give sites that are prepared side by side ports of their own

Change: what was found for one is not found again in the same process. The new test gives ports twice without it.

--- a/internal/lab/rig/load_test.go
+++ b/internal/lab/rig/load_test.go
@@ -64,3 +64,20 @@
 		}
 	}
 }
+
+// TestSitesSideBySideGetPortsOfTheirOwn: what was found free for one is not given to another before it listens.
+func TestSitesSideBySideGetPortsOfTheirOwn(t *testing.T) {
+	seen := map[string]bool{}
+	for range 60 {
+		list, err := FreeAddrs(48)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range list {
+			if seen[a] {
+				t.Fatalf("%s is given twice", a)
+			}
+			seen[a] = true
+		}
+	}
+}
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -117,10 +117,25 @@
 	return list[0], nil
 }
 
-// FreeAddrs finds so many at once, all different.
+// given are the ports that were found for others: sites that are prepared side by side must not get each other's before they listen.
+var (
+	givenMu sync.Mutex
+	given   = map[int]bool{}
+)
+
+// FreeAddrs finds so many at once, all different, and different from all that it has found before as long as there are such.
 func FreeAddrs(n int) (list []string, err error) {
+	givenMu.Lock()
+	defer givenMu.Unlock()
+	if len(given)+n > (portMost-portLeast)/2 {
+		clear(given)
+	}
 	for tries := 0; len(list) < n; tries++ {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", portLeast+rand.IntN(portMost-portLeast)))
+		port := portLeast + rand.IntN(portMost-portLeast)
+		if given[port] {
+			continue
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			if tries > 50*n {
 				return nil, fmt.Errorf("rig: no free port is found: %w", err)
@@ -128,6 +143,7 @@
 			continue
 		}
 		defer ln.Close()
+		given[port] = true
 		list = append(list, ln.Addr().String())
 	}
 	return list, nil
