--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -134,17 +134,18 @@
 			Program string        `default:"bin/cairnlane" help:"The program."`
 		} `cmd:"" help:"Play days of overload over real processes: as a fleet, each alone, and as a fleet that hears nothing of each other."`
 		OverloadCost struct {
-			Rounds   int    `default:"12" help:"Of each variant."`
+			Rounds   int    `default:"80" help:"Of each variant."`
 			Requests int    `default:"8000" help:"A round."`
 			Site     string `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Program  string `default:"bin/cairnlane" help:"The program."`
 		} `cmd:"" help:"Measure what a request costs with a fleet's advice and with the recorder, and without."`
 		Days struct {
-			Seed  uint64        `default:"1" help:"The first seed."`
-			Seeds int           `default:"10" help:"How many days of each case and mode."`
-			Boxes []int         `default:"10" sep:"," help:"Sizes."`
-			Span  time.Duration `default:"40s" help:"Of a day."`
-			Chart string        `help:"Draw the gains into an SVG file." type:"path"`
+			Seed   uint64        `default:"1" help:"The first seed."`
+			Seeds  int           `default:"10" help:"How many days of each case and mode."`
+			Boxes  []int         `default:"10" sep:"," help:"Sizes."`
+			Span   time.Duration `default:"40s" help:"Of a day."`
+			Steady bool          `help:"The loads without a fault, and the case with several, in place of all."`
+			Chart  string        `help:"Draw the gains into an SVG file." type:"path"`
 		} `cmd:"" help:"Play days of overload in virtual time, with everything that may go wrong."`
 		Members struct {
 			Names []int `default:"10,100,300" sep:"," help:"Sizes."`
--- a/internal/fleet/view/exchange_test.go
+++ b/internal/fleet/view/exchange_test.go
@@ -142,6 +142,13 @@
 			t.Errorf("%s: %v", name, got)
 		}
 	}
+	here := p
+	here.Self = "a" // a relay itself
+	for box, want := range map[string]bool{"b": true, "out": false} {
+		if got := new(Exchange).Take(time.Second, box, Message{Summary: &Summary{Session: 1, Seq: 1}}, here); got != want {
+			t.Errorf("a relay takes a summary of %s: %v", box, got)
+		}
+	}
 	x.Take(time.Second, "a", Message{All: good, Session: 2, Seq: 5}, p)
 	if x.Take(time.Second, "a", Message{All: good, Session: 2, Seq: 5}, p) {
 		t.Error("a message that comes twice counts")
