Decide the order in which classes are shed in one place, decide/shed

Seen on reading the change once more: the appliance and the model each sorted the classes by worth for their aim, a decision outside internal/decide and twice. Change: shed.Order, with a test; both call it.

--- a/internal/appliance/fleet.go
+++ b/internal/appliance/fleet.go
@@ -1,7 +1,6 @@
 package appliance
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -252,21 +251,14 @@
 	}
 }
 
-// overload reads what a configuration says of overload. The classes go in the order of what they are worth for the time that they may
-// take, which is the only measure of their work that all boxes have alike.
+// overload reads what a configuration says of overload.
 func (f *Fleet) overload(n uint64, body []byte) *shed.Rules {
 	c, err := config.ParseNumbered(fmt.Sprintf("configuration %d", n), body)
 	if err != nil || c.Overload == nil {
 		return nil // it was checked before it came into force
 	}
-	r := &shed.Rules{Version: n, Tries: c.Overload.Tries, Shares: c.Overload.Shares}
 	classes := f.cfg.Site.Policy.Classes
-	for i := range classes {
-		r.Order = append(r.Order, i)
-	}
-	density := func(i int) float64 { return classes[i].Worth / classes[i].Aim.Seconds() }
-	slices.SortStableFunc(r.Order, func(a, b int) int { return cmp.Compare(density(a), density(b)) })
-	return r
+	return &shed.Rules{Version: n, Tries: c.Overload.Tries, Shares: c.Overload.Shares, Order: shed.Order(len(classes), func(i int) float64 { return classes[i].Worth }, func(i int) time.Duration { return classes[i].Aim })}
 }
 
 // AuditFolder implements control.Fleet.
--- a/internal/decide/shed/fleet_test.go
+++ b/internal/decide/shed/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,6 +132,15 @@
 	}
 }
 
+// TestTheOrderOfClasses: the least worth for its aim first, the first of the settings where two are alike.
+func TestTheOrderOfClasses(t *testing.T) {
+	worth, aim := []float64{1, 1, 2, 4, 1}, []time.Duration{1300, 2200, 2200, 1300, 2200}
+	got := Order(len(worth), func(i int) float64 { return worth[i] }, func(i int) time.Duration { return aim[i] * time.Millisecond })
+	if want := []int{1, 4, 0, 2, 3}; !slices.Equal(got, want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
+
 // TestManners: who sends what it was asked to hold back is found, who does not is not, whatever the floors; and who comes round is forgiven.
 func TestManners(t *testing.T) {
 	testkit.Check(t, 100, func(t *rapid.T) {
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -42,6 +42,18 @@
 	Order   []int              // classes by their place in the settings, in the order in which they are shed
 }
 
+// Order puts classes, by their place, in the order in which they are shed: what is worth least for the time that it may take goes first. That
+// time is the only measure of a class's work that all boxes have alike.
+func Order(n int, worth func(class int) float64, aim func(class int) time.Duration) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	density := func(i int) float64 { return worth(i) / aim(i).Seconds() }
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(density(a), density(b)) })
+	return list
+}
+
 // Advice is what the module may take from the fleet. The zero value is none: the box is as if it were alone. It is not changed once it is
 // given out.
 type Advice struct {
--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"cairnlane/internal/decide/shed"
 	"cairnlane/policy"
 )
 
@@ -82,15 +83,9 @@
 	return c
 }
 
-// Order are the classes in the order in which the fleet sheds them, as a box works it out.
+// Order are the classes in the order in which the fleet sheds them.
 func (s Site) Order() []int {
-	list := make([]int, len(s.Classes))
-	for i := range list {
-		list[i] = i
-	}
-	density := func(i int) float64 { return s.Classes[i].Worth / s.Classes[i].Aim.Seconds() }
-	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(density(a), density(b)) })
-	return list
+	return shed.Order(len(s.Classes), func(i int) float64 { return s.Classes[i].Worth }, func(i int) time.Duration { return s.Classes[i].Aim })
 }
 
 // Shares are the tenants' parts of the capacity, by name.
