Write no run twice that may run once: what the engine read is told by its answers

Seen, reading where a link's end and a run cross (engine/session.go begin, replica/host.go Attached): what was written less than 150 ms before the engine was last heard was sent again, the rest taken for read. Both are guesses. Now an answered STAT proves what was written before it; what may run twice is sent again, what may not is waited for until its answer is due, fails then, and frees its place. A move of the link asks last, so that nothing is in doubt after it.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -86,6 +86,29 @@
 	}
 }
 
+// A notice that came ahead of one that was still missing used to have the latter dropped as told already, and its run never
+// ended. A new link is told it; what the engine no longer knows is passed over.
+func TestANoticeThatIsMissingIsAskedForOnce(t *testing.T) {
+	mem := &memory{}
+	s, rec, _ := link(mem)
+	if err := s.feed([]byte("HELLO running 5\r\nDONE 1 a fine 1 0\r\n\r\nDONE 3 c fine 1 0\r\n\r\n")); !errors.Is(err, ErrMalformed) || mem.last != 1 {
+		t.Fatalf("error %v, last %d", err, mem.last)
+	}
+	s, again, _ := link(mem)
+	if err := s.feed([]byte("HELLO running 5\r\nDONE 2 b fine 1 0\r\n\r\nDONE 3 c fine 1 0\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	rec.want(t, `a 0 1ms ""`)
+	again.want(t, `b 0 1ms ""; c 0 1ms ""`)
+	for _, fails := range []bool{true, false} { // 4 to 6 are gone
+		s, rec, _ = link(mem)
+		if err := s.feed([]byte("HELLO running 5\r\nDONE 7 g fine 1 0\r\n\r\n")); (err != nil) != fails {
+			t.Fatalf("error %v", err)
+		}
+	}
+	rec.want(t, `g 0 1ms ""`)
+}
+
 // TestEveryNoticeIsToldOnceOverAnyBreaks breaks the link at random places of the stream.
 func TestEveryNoticeIsToldOnceOverAnyBreaks(t *testing.T) {
 	testkit.Steps(t, func(*rapid.T) map[string]func(*rapid.T) {
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"sync"
 	"sync/atomic"
@@ -19,12 +20,9 @@
 	firstPause  = 10 * time.Millisecond  // before the first try to reconnect; doubles up to lastPause
 	lastPause   = 100 * time.Millisecond // runs wait for the link, so an engine that comes up is found soon
 	outputMost  = 4 << 20
-	statsOpen   = 2 // STATs open at a time: an engine that is slow to answer is asked less
-	// lossSpan is how long before the last word of the engine a command may have been written and still
-	// be lost with the link. The protocol says 50 ms; the rest is for what stood in buffers.
-	lossSpan   = 150 * time.Millisecond
-	retireTime = 100 * time.Millisecond // see Link
-	retirePoll = time.Millisecond
+	statsOpen   = 2                      // STATs open at a time: an engine that is slow to answer is asked less
+	retireTime  = 100 * time.Millisecond // see Link
+	retirePoll  = time.Millisecond
 )
 
 // Link keeps a connection to the engine open.
@@ -135,6 +133,7 @@
 	sess   *session
 	out    *outbox.Box
 	broken chan struct{} // closes when the link has ended
+	ended  bool          // its descriptor is about to be closed, or is another's; guarded by the link's mu
 }
 
 // begin attaches a link that was accepted.
@@ -148,11 +147,11 @@
 	}}
 	l.attach(c.sess)
 	leave := sync.OnceFunc(func() {
-		l.detach(c.sess)
+		l.detach(c)
 		c.out.Close()
 		close(c.broken)
 	})
-	conn.AddCloseCallback(func(netpoll.Connection) error {
+	conn.AddCloseCallback(func(netpoll.Connection) error { // before the descriptor is closed, see front.Server.prepare
 		leave()
 		return nil
 	})
@@ -167,24 +166,22 @@
 }
 
 // retire ends a link that another one is about to replace. It guards against runs that are lost or
-// doubled by the move: nothing new is written on it, all that was is flushed and followed by the end of
-// our side, and what the engine still tells is read until it closes, or for a moment.
+// doubled by the move: nothing new is written on it, all that was is flushed and followed by a question and the end of
+// our side, and what the engine still tells is read until it closes, or for a moment. The answer to the question says that
+// all was read.
 func (l *Link) retire(c *connection) {
 	if c == nil {
 		return
 	}
 	l.mu.Lock()
 	c.sess.state.Store(retired)
+	c.sess.stat()
 	l.mu.Unlock()
 	end := time.Now().Add(l.retireTime)
 	for !c.out.Empty() && time.Now().Before(end) {
 		time.Sleep(retirePoll)
 	}
-	if fd, ok := c.Connection.(interface{ Fd() int }); ok && c.IsActive() {
-		if err := syscall.Shutdown(fd.Fd(), syscall.SHUT_WR); err != nil {
-			log.Print("engine link: end the old one: ", err)
-		}
-	}
+	l.endOurs(c)
 	select {
 	case <-c.broken:
 	case <-time.After(time.Until(end)):
@@ -193,6 +190,20 @@
 	}
 }
 
+// endOurs ends our side of a link. Its descriptor stays its own while l.mu is held: without that, a link that closed at
+// this very moment had another connection's side ended.
+func (l *Link) endOurs(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fd, ok := c.Connection.(interface{ Fd() int })
+	if !ok || c.ended {
+		return
+	}
+	if err := syscall.Shutdown(fd.Fd(), syscall.SHUT_WR); err != nil && !errors.Is(err, syscall.ENOTCONN) {
+		log.Print("engine link: end the old one: ", err)
+	}
+}
+
 // read takes all that has come in. Garbage from the engine ends the link, which is then taken up anew.
 func (l *Link) read(sess *session, c netpoll.Connection) error {
 	l.reading.Lock()
@@ -216,10 +227,11 @@
 	l.sess = sess
 }
 
-func (l *Link) detach(sess *session) {
+func (l *Link) detach(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sess == sess {
+	c.ended = true
+	if l.sess == c.sess {
 		l.sess = nil
 	}
 }
@@ -255,7 +267,7 @@
 		s.giveUp()
 		return false
 	}
-	if s == nil || s.state.Load() != ready || s.asked.Load() >= statsOpen {
+	if s == nil || s.state.Load() != ready || s.open() >= statsOpen {
 		return false
 	}
 	s.stat()
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,15 +21,20 @@
 	// Gauges brings the gauges, in the order of the settings.
 	Gauges(values []float64)
 	// Attached says that the link is up and all that was missed has been told: whatever runs by our
-	// books, was written after since and was not told of may have been lost and is sent again. Run takes
-	// requests once open was called.
+	// books, was written at since or later and was not told of may have been lost with an earlier link. Run
+	// takes requests once open was called.
 	Attached(since time.Duration, open func())
 }
 
-// memory is what outlives a link: the number of the last notice read, and when anything was read.
+// memory is what outlives a link. The reader of the present one alone uses it.
 type memory struct {
-	last  int64
-	heard time.Duration
+	last int64 // number of the last notice read
+	// reached is when the newest question was written that was answered: an engine reads in order, so all that was
+	// written before it on that link, or on an earlier one and was not sent again since, is with the engine.
+	reached time.Duration
+	greeted bool  // the engine has said HELLO to this process
+	unheard int   // links in a row without HELLO
+	gap     int64 // the notice that was missing when a link was taken up anew for it
 }
 
 // The states of a link.
@@ -38,8 +44,8 @@
 	retired         // another link is about to replace this one
 )
 
-// session is the state of one link, from ATTACH on, with no I/O of its own. Only state, asked and
-// tags may be used from elsewhere than the reader.
+// session is the state of one link, from ATTACH on, with no I/O of its own. Only state, quiet, most and
+// what asking guards may be used from elsewhere than the reader.
 type session struct {
 	memory *memory
 	events Events
@@ -50,10 +56,13 @@
 	sync   string
 	since  time.Duration // commands written before it have reached the engine
 	state  atomic.Int32
-	asked  atomic.Int32 // STATs that are open
-	tags   atomic.Int64
-	quiet  atomic.Int64 // since when a STAT waits and nothing is heard; 0 while none waits
+	quiet  atomic.Int64 // since when an answer is waited for and nothing is heard; 0 while none is
+	most   atomic.Int64 // how long that may last
 	giveUp func()       // ends the link
+
+	asking sync.Mutex // guards what follows
+	tags   int64
+	asked  map[string]time.Duration // STATs that are open: when each was written
 }
 
 // quietMost is how long an engine that was asked for its gauges may say nothing at all. It is asked at every tick and
@@ -61,22 +70,35 @@
 // a new link is told what was missed.
 const quietMost = time.Second
 
-// silent tells whether the link has gone silent. Before HELLO nothing is asked, so that an engine may start late.
+// An engine may start long after this process, and says HELLO only then; one that has said it before has nothing to wait
+// for. Either way the wait doubles from link to link, so that an engine that is slow to answer is not kept from it.
+const (
+	lateStart  = 2 // doublings for an engine that has not been heard of at all
+	waitsTwice = 4 // most doublings
+)
+
+// silent tells whether the link has gone silent.
 func (s *session) silent() bool {
 	since := s.quiet.Load()
-	return since != 0 && s.now()-time.Duration(since) > quietMost
+	return since != 0 && s.now()-time.Duration(since) > time.Duration(s.most.Load())
 }
 
 func (s *session) begin() {
-	s.since = s.memory.heard - lossSpan
+	s.since = s.memory.reached
+	doublings := s.memory.unheard
+	if !s.memory.greeted {
+		doublings += lateStart
+	}
+	s.memory.unheard++
+	s.most.Store(int64(quietMost << min(doublings, waitsTwice)))
+	s.quiet.Store(int64(s.now()))
 	s.send(func(dst []byte) []byte { return appendAttach(dst, s.memory.last) })
 }
 
 // feed reads what has come in and tells events of it.
 func (s *session) feed(p []byte) error {
-	s.memory.heard = s.now()
 	if s.quiet.Load() != 0 {
-		s.quiet.Store(int64(s.memory.heard))
+		s.quiet.Store(int64(s.now()))
 	}
 	s.in = append(s.in, p...)
 	buf := s.in
@@ -103,13 +125,18 @@
 	}
 	switch n.kind {
 	case "HELLO":
-		s.hello = true
+		s.hello, s.memory.greeted, s.memory.unheard = true, true, 0
+		s.most.Store(int64(quietMost))
 		s.events.Started(n.took)
 		s.sync = s.stat() // what was missed stands between HELLO and the answer to this
 	case "DONE", "NOTE":
 		if n.number <= s.memory.last { // told on an earlier link
 			return nil
 		}
+		if next := s.memory.last + 1; n.number > next && s.memory.gap != next {
+			s.memory.gap = next // a new link is told it, if the engine still knows; else it is passed over
+			return fmt.Errorf("%w: notice %d where %d is due", ErrMalformed, n.number, next)
+		}
 		s.memory.last = n.number
 		if n.kind == "DONE" {
 			s.events.Done(n.id, n.end, n.took, n.result)
@@ -127,21 +154,44 @@
 	return nil
 }
 
+// answered takes the answer to a question, and with it that all that was written before the question was read.
 func (s *session) answered(tag string) {
-	if s.asked.Add(-1) <= 0 {
+	s.asking.Lock()
+	written, known := s.asked[tag]
+	delete(s.asked, tag)
+	if len(s.asked) == 0 {
 		s.quiet.Store(0)
 	}
+	s.asking.Unlock()
+	if known {
+		s.memory.reached = max(s.memory.reached, written)
+	}
 	if tag == s.sync && s.state.Load() == attaching {
 		s.events.Attached(s.since, func() { s.state.CompareAndSwap(attaching, ready) })
 	}
 }
 
+// open tells how many questions have no answer.
+func (s *session) open() int {
+	s.asking.Lock()
+	defer s.asking.Unlock()
+	return len(s.asked)
+}
+
 // stat asks for the gauges under a new tag.
 func (s *session) stat() string {
-	if s.asked.Add(1) == 1 {
-		s.quiet.Store(int64(s.now()))
+	s.asking.Lock()
+	defer s.asking.Unlock() // also while it is put: questions are written in the order of their times
+	if s.asked == nil {
+		s.asked = map[string]time.Duration{}
+	}
+	now := s.now()
+	if len(s.asked) == 0 {
+		s.quiet.Store(int64(now))
 	}
-	tag := "g" + strconv.FormatInt(s.tags.Add(1), 10)
+	s.tags++
+	tag := "g" + strconv.FormatInt(s.tags, 10)
+	s.asked[tag] = now
 	s.send(func(dst []byte) []byte { return appendStat(dst, tag) })
 	return tag
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -19,7 +19,7 @@
 	if !assert.That(req != nil && !req.running && !req.answered, "only a held request is run") {
 		return
 	}
-	req.running = true
+	req.running, req.pending = true, true
 	r.count.runs.Inc()
 	if k := req.key; k != nil {
 		k.ran = true
@@ -43,7 +43,7 @@
 		} else {
 			r.figures.tries.Add(1)
 		}
-		req.sent, req.sentAt = true, r.clock.Now()
+		req.sent, req.sentAt, req.pending = true, r.clock.Now(), false
 	}
 }
 
@@ -107,8 +107,18 @@
 		return
 	}
 	r.answer(req, Answer{Kind: Failed})
-	if !req.running { // it waited for another try; the module has ended it
+	switch {
+	case !req.running: // it waited for another try; the module has ended it
 		r.forget(req)
+	case req.doubt: // nobody is told whether it ran, so that nothing more is waited for
+		r.queue(func(now time.Duration) { r.giveUp(now, req) })
+	}
+}
+
+// giveUp ends a run in doubt of which nothing was heard until its answer was due. Its end, if it comes yet, is stray.
+func (r *Replica) giveUp(now time.Duration, req *request) {
+	if req.running {
+		r.ended(now, req, policy.Interrupted, 0, nil)
 	}
 }
 
@@ -249,17 +259,30 @@
 	})
 }
 
-// Attached takes word that a link is up and open lets runs through. What was decided to run, was written
-// after since and was not told of among the notices that were missed may not have reached the engine, or
-// runs still; sending it again does nothing then. What was written before since did reach it and is not
-// sent again: its end may be told at this very moment, and it would run a second time.
+// Attached takes word that a link is up and open lets runs through. What was decided to run, was written at since or
+// later and was not told of among the notices that were missed may not have reached the engine, or runs still, or
+// its end is told at this very moment. What may run twice is sent again; what may not is waited for until its answer is
+// due, as sent again it could run a second time.
 func (r *Replica) Attached(since time.Duration, open func()) {
 	r.enter(func(time.Duration) {
 		open()
 		ids := slices.Sorted(maps.Keys(r.live))
 		for _, id := range ids {
-			if req := r.live[id]; req.running && (!req.sent || req.sentAt > since) {
+			req := r.live[id]
+			if !req.running {
+				continue
+			}
+			if lost := req.sent && !req.pending && !req.doubt && req.sentAt >= since; lost && req.class.Semantics == policy.Safe {
+				req.pending = true
+			} else if lost {
+				req.doubt = true
+				r.count.doubted.Inc()
+			}
+			switch {
+			case req.pending:
 				r.send(req)
+			case req.doubt && req.answered:
+				r.queue(func(now time.Duration) { r.giveUp(now, req) })
 			}
 		}
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -119,6 +119,8 @@
 	running  bool // decided to run; its end is awaited
 	sent     bool // RUN was written at least once
 	sentAt   time.Duration
+	pending  bool // RUN is to be written, or once more, as soon as there is a link
+	doubt    bool // RUN may be lost with its link, or its end be told at this moment: it is not written again
 	key      *key // its entry, once kept
 	waitsOn  *key // the try whose outcome it waits for
 }
@@ -154,8 +156,8 @@
 }
 
 type counts struct {
-	beyond, overShare, lowClass                                                                                            *counters.Counter // refusals by the fleet's word
-	read, retries, served, refused, failed, reused, advised, giveups, runs, resent, done, moot, stray, rejected, malformed *counters.Counter
+	beyond, overShare, lowClass                                                                                                     *counters.Counter // refusals by the fleet's word
+	read, retries, served, refused, failed, reused, advised, giveups, runs, resent, doubted, done, moot, stray, rejected, malformed *counters.Counter
 }
 
 // New builds a replica. The module may act at once, so the engine must be able to take calls.
@@ -166,7 +168,7 @@
 	r.count = counts{read: set.Get("requests_read"), retries: set.Get("requests_marked_retry"),
 		served: set.Get("answers_served"), refused: set.Get("answers_refused"), failed: set.Get("answers_failed"),
 		reused: set.Get("answers_reused"), advised: set.Get("answers_with_later"), giveups: set.Get("answers_with_giveup"),
-		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), done: set.Get("runs_done"),
+		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), doubted: set.Get("runs_in_doubt"), done: set.Get("runs_done"),
 		moot: set.Get("runs_done_unserved"), stray: set.Get("notices_unmatched"), rejected: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
 	r.count.beyond, r.count.overShare, r.count.lowClass = set.Get("refused_beyond_tries"), set.Get("refused_over_share"), set.Get("refused_low_class")
 	r.shared = newShared(cfg.Replaceable)
@@ -205,8 +207,8 @@
 func (r *Replica) call(method func()) {
 	assert.That(!r.inside, "the module is not entered from its own calls")
 	r.inside = true
+	defer func() { r.inside = false }() // also by a panic, which netpoll's pool takes for the end of one connection
 	method()
-	r.inside = false
 }
 
 func (r *Replica) queue(f func(now time.Duration)) { r.after = append(r.after, f) }
