Catch signals from the first step on, and have the notice to leave wait for nothing

Cause, by reading (daemon.go Run, assemble, serve): signals were expected only after the configuration had been read, so that SIGHUP, which staff send to all replicas while some are just being replaced, ended one in that moment, and so did the notice to leave: both are crashes. All kinds shared one queue of four, and the file was read in the loop that takes them: a notice behind a slow file or four signals was late or dropped. Now the first step of the program catches them, each kind waits by itself, and a new configuration is read beside the loop. Tests: the configuration is a pipe, so that the program stands in the reading of it until the test writes.

--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -153,6 +153,7 @@
 		Mutants struct {
 			Root    string `default:"." type:"existingdir" help:"The source."`
 			Workers int    `default:"4" help:"How many side by side."`
+			Only    string `help:"Only those whose name, file or test holds this."`
 		} `cmd:"" help:"Break the source in one place after the other and see that a test finds it."`
 		Act struct {
 			Resource string        `required:""`
@@ -285,7 +286,10 @@
 		}
 		return nil
 	case "trial mutants":
-		all := slices.Concat(mutants.Leases, mutants.Audits, mutants.Overloads)
+		all := slices.Concat(mutants.Leases, mutants.Audits, mutants.Overloads, mutants.Crossings)
+		all = slices.DeleteFunc(all, func(m mutants.Mutant) bool {
+			return !strings.Contains(m.Name+" "+m.File+" "+m.Test, o.Trial.Mutants.Only)
+		})
 		caught, alive, err := mutants.Run(o.Trial.Mutants.Root, all, o.Trial.Mutants.Workers, w)
 		if err != nil {
 			return err
--- a/cmd/cairnlane/drain_test.go
+++ b/cmd/cairnlane/drain_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cairnlane/internal/thrift"
 )
 
@@ -29,7 +31,19 @@
 
 func start(t *testing.T) *program {
 	t.Helper()
-	p := &program{}
+	p, config := prepare(t)
+	if err := os.WriteFile(p.path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.begin(t)
+	p.serves(t)
+	return p
+}
+
+// prepare makes all that a replica needs and gives its configuration, which stands nowhere yet.
+func prepare(t *testing.T) (p *program, config string) {
+	t.Helper()
+	p = &program{path: filepath.Join(t.TempDir(), "config.json")}
 	var err error
 	if p.engine, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -42,13 +56,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { silent.Close() })
-	config := strings.NewReplacer(`127.0.0.1:7001`, `127.0.0.1:0`, `127.0.0.1:4400`, p.engine.Addr().String(), `127.0.0.1:2379`, silent.Addr().String(),
+	t.Cleanup(func() { silent.Close(); p.engine.Close() })
+	config = strings.NewReplacer(`127.0.0.1:7001`, `127.0.0.1:0`, `127.0.0.1:4400`, p.engine.Addr().String(), `127.0.0.1:2379`, silent.Addr().String(),
 		`"drain-grace": 2000000`, `"drain-grace": 1000`).Replace(string(example))
-	p.path = filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(p.path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	return p, config
+}
+
+// begin starts the program.
+func (p *program) begin(t *testing.T) {
+	t.Helper()
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), "CAIRNLANE_TEST_RUN=1", "RELAY_CONFIG="+p.path)
 	out, err := p.cmd.StderrPipe()
@@ -58,15 +74,126 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { p.cmd.Process.Kill(); p.engine.Close() })
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	if f, ok := out.(*os.File); ok {
+		f.SetReadDeadline(time.Now().Add(time.Minute))
+	}
 	p.log = bufio.NewReader(out)
+}
+
+// serves takes the program's link and connects a router to it.
+func (p *program) serves(t *testing.T) {
+	t.Helper()
 	line := p.read(t, p.log, " serves at ")
 	p.attach(t, 0)
+	var err error
 	if p.router, err = net.Dial("tcp", strings.Trim(line[strings.LastIndex(line, " ")+1:], `"}`)); err != nil {
 		t.Fatal(err)
 	}
 	p.router.SetDeadline(time.Now().Add(20 * time.Second))
-	return p
+}
+
+// signal sends signals to the program.
+func (p *program) signal(t *testing.T, all ...os.Signal) {
+	t.Helper()
+	for _, s := range all {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// pipe puts a pipe where the configuration is to stand, so that whoever reads it waits for the test.
+func (p *program) pipe(t *testing.T) {
+	t.Helper()
+	_ = os.Remove(p.path)
+	if err := unix.Mkfifo(p.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// reads waits until the program reads its configuration from the pipe; what is written is all of it.
+func (p *program) reads(t *testing.T) *os.File {
+	t.Helper()
+	f, err := os.OpenFile(p.path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// TestSignalsWhileTheConfigurationIsRead has SIGHUP and the notice to leave come before a replica knows what it is. Both
+// used to end it: a crash. The one has nothing to do then, the other is carried out as soon as it serves.
+func TestSignalsWhileTheConfigurationIsRead(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		p, config := prepare(t)
+		p.pipe(t)
+		p.begin(t)
+		f := p.reads(t)
+		p.signal(t, syscall.SIGHUP, syscall.SIGUSR1)
+		if leaves {
+			p.signal(t, syscall.SIGTERM)
+		}
+		_ = os.Remove(p.path) // the pipe goes on; who reads anew finds the file
+		if err := os.WriteFile(p.path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.WriteString(config); err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		if leaves {
+			io.Copy(io.Discard, p.log)
+		} else {
+			p.serves(t)
+			if run := p.ask(t, 1); run[1] == "" {
+				t.Fatal("no run")
+			}
+			p.router.Close()
+			p.signal(t, syscall.SIGTERM)
+			io.Copy(io.Discard, p.log)
+		}
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("leaves %v: exit %v", leaves, err)
+		}
+	}
+}
+
+// TestTheNoticeToLeaveWaitsForNothing has it come while a new configuration is being read and other signals wait. It used to
+// wait for the file, and to be dropped when four signals waited already.
+func TestTheNoticeToLeaveWaitsForNothing(t *testing.T) {
+	p := start(t)
+	run := p.ask(t, 1)
+	config, err := os.ReadFile(p.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.pipe(t)
+	p.signal(t, syscall.SIGHUP)
+	f := p.reads(t)
+	for range 3 {
+		p.signal(t, syscall.SIGHUP, syscall.SIGUSR1)
+		p.read(t, p.log, "counters: ")
+	}
+	p.signal(t, syscall.SIGTERM)
+	if got := strings.Join(p.answers(t, 1), ", "); got != "goaway 0 0" {
+		t.Fatalf("on the notice to leave: %s", got)
+	}
+	_ = os.Remove(p.path)
+	if err := os.WriteFile(p.path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write(config); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	p.read(t, p.log, "configuration read anew")
+	p.read(t, p.log, "the old settings stay in force") // what came meanwhile is one more reading
+	fmt.Fprintf(p.link, "DONE 1 %s fine 5 2\r\nok\r\n", run[1])
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 1 0" {
+		t.Fatalf("in the drain: %s", got)
+	}
+	p.ends(t, "answers_served=1", "configurations_reloaded=1", "configurations_turned_down=1")
 }
 
 // read passes over lines until one holds the word, and returns it.
--- a/cmd/cairnlane/main.go
+++ b/cmd/cairnlane/main.go
@@ -16,6 +16,7 @@
 )
 
 func main() {
+	daemon.Catch()
 	if len(os.Args) > 1 {
 		fail(appliance(os.Args))
 	}
--- a/cmd/cairnsite/main.go
+++ b/cmd/cairnsite/main.go
@@ -9,6 +9,7 @@
 
 	"cairnlane/internal/appliance"
 	"cairnlane/internal/config"
+	"cairnlane/internal/daemon"
 )
 
 var cli struct {
@@ -26,6 +27,7 @@
 	var err error
 	switch ctx.Command() {
 	case "serve":
+		daemon.Catch()
 		err = appliance.Serve(cli.Serve.Config, os.Stderr)
 	default:
 		if _, err = config.Load(cli.Check.File); err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,11 +7,9 @@
 	"log"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"syscall"
 	"time"
 
 	"cairnlane/internal/assert"
@@ -60,18 +58,12 @@
 	Name     string
 	Addr     string
 	Counters *counters.Set
-	signals  chan os.Signal
 	process  *process
 	service  *service
 }
 
 // Drain has the replica leave, as SIGTERM does.
-func (r *Replica) Drain() {
-	select {
-	case r.signals <- syscall.SIGTERM:
-	default: // signals wait already
-	}
-}
+func (r *Replica) Drain() { r.service.signals.Leave() }
 
 // Operator is the replica as operators call it.
 func (r *Replica) Operator() operator.Replica { return door{r.process} }
@@ -115,7 +107,7 @@
 	parts   []Part
 	started func(*Replica)
 
-	signals  chan os.Signal
+	signals  *Signals
 	set      *counters.Set
 	clk      *clock.System
 	engine   *engine.Link
@@ -147,10 +139,8 @@
 
 // assemble makes the parts; nobody is served, and nothing is started.
 func assemble(path string, cfg *settings.Replica, started func(*Replica), parts []Part) (*service, error) {
-	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to die
-	s := &service{path: path, cfg: cfg, parts: parts, started: started, signals: make(chan os.Signal, 4), set: new(counters.Set), clk: clock.NewSystem(),
+	s := &service{path: path, cfg: cfg, parts: parts, started: started, signals: Catch(), set: new(counters.Set), clk: clock.NewSystem(),
 		process: &process{effects: make(chan lifecycle.Effect, 8)}, past: link.Fresh, failed: make(chan error, 1)}
-	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	s.reloads, s.turned = s.set.Get("configurations_reloaded"), s.set.Get("configurations_turned_down")
 	memory := int(cfg.Limits.MemoryMB << 20)
 	s.engine = engine.NewLink(cfg.Engine, s.clk.Now, s.set)
@@ -219,6 +209,7 @@
 
 // serve takes signals and what follows from the process's life, one at a time.
 func (s *service) serve(ctx context.Context) error {
+	reload, read := s.signals.reload, (chan reading)(nil) // one at a time; what comes meanwhile waits
 	for {
 		select {
 		case err := <-s.failed:
@@ -228,15 +219,15 @@
 			s.failed = nil
 		case effect := <-s.process.effects:
 			s.carryOut(ctx, effect)
-		case sig := <-s.signals:
-			switch sig {
-			case syscall.SIGUSR1:
-				s.report()
-			case syscall.SIGHUP: // in a drain as well: its runs still end at the engine
-				s.reload()
-			default:
-				s.process.take(lifecycle.Term)
-			}
+		case <-s.signals.leave:
+			s.process.take(lifecycle.Term)
+		case <-s.signals.report:
+			s.report()
+		case <-reload: // in a drain as well: its runs still end at the engine
+			reload, read = nil, s.read()
+		case r := <-read:
+			s.reload(r.next, r.err)
+			reload, read = s.signals.reload, nil
 		}
 	}
 }
@@ -250,7 +241,7 @@
 		go func(failed chan<- error) { failed <- s.server.Serve() }(s.failed)
 		go s.reporter.Keep(ctx)
 		if s.started != nil {
-			s.started(&Replica{Name: s.cfg.Name, Addr: s.server.Addr(), Counters: s.set, signals: s.signals, process: s.process, service: s})
+			s.started(&Replica{Name: s.cfg.Name, Addr: s.server.Addr(), Counters: s.set, process: s.process, service: s})
 		}
 		log.Printf("%s serves at %s", s.cfg.Name, s.server.Addr())
 	}
@@ -277,9 +268,24 @@
 	os.Exit(0)
 }
 
-// reload reads the configuration anew and moves the links to the addresses in it.
-func (s *service) reload() {
-	next, err := s.cfg.Reload(s.path)
+// reading is a configuration that was read anew, or why it was turned down.
+type reading struct {
+	next *settings.Replica
+	err  error
+}
+
+// read reads the configuration anew, beside all else: however long that takes, the notice to leave is not late.
+func (s *service) read() chan reading {
+	cfg, done := s.cfg, make(chan reading, 1)
+	go func() {
+		next, err := cfg.Reload(s.path)
+		done <- reading{next, err}
+	}()
+	return done
+}
+
+// reload moves the links to the addresses in a configuration that was read anew.
+func (s *service) reload(next *settings.Replica, err error) {
 	if err != nil {
 		s.turned.Inc()
 		log.Print("the old settings stay in force: ", err)
