Bound names and waits by the settings alone, and share reads for no longer than they say

Cause, by reading for figures that fit one site: front/thrift.go turned down classes and tenants of over 64 bytes, and callers that wait for over a minute, as malformed, whatever the settings name; a write to a router that reads slowly ended after a minute, shorter than the deadlines of some sites may be; the answer to a read was handed on until its caller's due time, the settings' time and a second (replica/keys.go keyMargin, meant for saves); a new file's tenants were taken into the configuration unsaid; two classes or tenants of one name, a name of two words, a keyed class without a window were served until the first such request failed. Now names are bounded by being the settings', which requests hold in place of their own copies; a read is shared for the settings' time from its end; what a new file changes beside the addresses is named and left alone; such settings end the start with a line that says which class or tenant, by its place.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,6 +158,7 @@
 	}
 	p.split = newSplit(cfg.Limits, s.server, p.Replica)
 	p.split.alone()
+	s.server.Waits(longest(cfg))
 	s.server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
 		if s.door, err = operator.Listen(cfg.Control, door{p}, s.clk.Now, s.set); err != nil {
@@ -333,14 +334,18 @@
 	s.empty(stopAt)
 }
 
+// longest is the longest deadline.
+func longest(cfg *settings.Replica) (d time.Duration) {
+	for _, c := range cfg.Policy.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
+
 // handOver leaves the service to the successor: nothing new is taken, routers are asked to go, and the process ends as
 // soon as they have, at the latest just before it would be killed.
 func (s *service) handOver(cfg *settings.Replica) {
-	var longest time.Duration
-	for _, c := range cfg.Policy.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	stopAt := s.clk.Now() + lifecycle.HandOverTime(longest)
+	stopAt := s.clk.Now() + lifecycle.HandOverTime(longest(cfg))
 	s.process.StopAt(stopAt)
 	s.server.HandOver()
 	s.empty(stopAt)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -10,6 +10,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,7 +34,7 @@
 const (
 	// outputBound is over what the answers to all calls of a connection can take.
 	outputBound = 512 << 10
-	// writeTimeout is longer than any deadline: a router that reads slowly must not lose answers.
+	// writeTimeout is how long a write may wait at the least, see Waits.
 	writeTimeout = time.Minute
 	// readBuffer is what the kernel holds of a connection that was not read yet, and chunk what is looked at
 	// in one piece: a client that sends 60 MB must not have them gathered before its first bytes are judged.
@@ -64,6 +65,8 @@
 	table     *conns.Table
 	closeIdle time.Duration // 0 leaves idle connections to the routers
 	leaving   bool
+
+	patience atomic.Int64 // how long a write may wait
 }
 
 // conn is one router connection.
@@ -112,6 +115,7 @@
 	}
 	s := &Server{core: core, now: now, most: most, ln: ln, conns: map[*conn]struct{}{},
 		table: conns.NewTable(conns.DefaultLimits(most)), kick: make(chan struct{}, 1), backlogTime: backlogTime, noise: rate.Sometimes{First: 3, Interval: time.Second}}
+	s.Waits(0)
 	for r := range s.count.ended {
 		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
 	}
@@ -149,7 +153,7 @@
 		nc.Close() // nothing of it was read, so nothing was run
 		return ctx
 	}
-	nc.SetWriteTimeout(writeTimeout)
+	nc.SetWriteTimeout(time.Duration(s.patience.Load()))
 	c := s.add(polledLine{nc}, nc)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		s.remove(c) // before the descriptor is closed, as the callbacks are called last to first
@@ -254,6 +258,9 @@
 	s.closeIdle = after
 }
 
+// Waits tells the longest time that a router waits for an answer: one that reads slowly must not lose it before.
+func (s *Server) Waits(longest time.Duration) { s.patience.Store(int64(max(writeTimeout, 2*longest))) }
+
 // BoundOutput sets how many bytes may wait to be written to all connections together.
 func (s *Server) BoundOutput(most int) { s.output.Bound(most) }
 
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// Names of over 64 bytes and callers that wait for over a minute used to be malformed, whatever the settings name.
+func TestNamesAndWaitsAreBoundedByTheSettings(t *testing.T) {
+	r := newRouter()
+	name := strings.Repeat("the-school-of-distance-education-", 20)
+	if err := r.feed(message("serve", 1, fields([2]string{"team", name}, [2]string{"limit", "90000"}), "")); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.feed(message("serve", 2, fields([2]string{"verb", name}), "")); err != nil {
+		t.Fatal(err)
+	}
+	if q := r.core.requests; len(q) != 1 || q[0].Tenant != name || q[0].Limit != 90*time.Second {
+		t.Errorf("taken %+v", q)
+	}
+	if h, text := r.next(); h.Type != thrift.Exception || !strings.Contains(text, "unknown class") {
+		t.Errorf("a class that the settings do not name: %+v %q", h, text)
+	}
+}
+
 func TestAnswersCarryTheirFields(t *testing.T) {
 	signal := replica.Signal{Value: 0.5, Set: true}
 	for _, k := range []struct {
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -15,10 +15,11 @@
 const (
 	// maxBody is what a request's body may hold.
 	maxBody = 2 << 10
-	// maxName bounds the fields that are names: they are kept for as long as the request or its key.
+	// maxName bounds the names of what requests are about, which are kept for as long as their keys. Classes and tenants are
+	// bounded by the settings that name them.
 	maxName = 64
-	// maxLimit is longer than any caller waits.
-	maxLimit = float64(time.Minute / time.Millisecond)
+	// maxLimit bounds the arithmetic; how long callers may wait is told by the settings, which the replica has.
+	maxLimit = float64(24 * time.Hour / time.Millisecond)
 )
 
 var errField = errors.New("malformed field")
@@ -64,7 +65,7 @@
 		Rank:  p.number("standing", 0, below(1)),
 	}
 	q.Caller = int(p.number("lb", 0, 1<<31))
-	for _, name := range []string{"verb", "team", "unique", "item"} {
+	for _, name := range []string{"unique", "item"} {
 		if len(fields[name]) > maxName {
 			p.fail(name)
 		}
--- a/internal/lab/mutants/crossings.go
+++ b/internal/lab/mutants/crossings.go
@@ -11,4 +11,11 @@
 	{"a HELLO without end", "internal/engine/session.go", "	s.quiet.Store(int64(s.now()))\n	s.send", "	s.send", "./internal/engine", "TestALinkWithoutHelloIsGivenUpLaterEachTime"},
 	{"a missing notice is passed over", "internal/engine/session.go", "n.number > next && s.memory.gap != next", "false && s.memory.gap != next", "./internal/engine", "TestANoticeThatIsMissingIsAskedForOnce"},
 	{"the end of a link hits another", "internal/engine/link.go", "if !ok || c.ended {", "if !ok {", "./internal/engine", "TestTheEndOfALinkHitsNoOtherConnection"},
+	{"a class by its place in one site's list", "internal/replica/replica.go", "class: &r.cfg.Policy.Classes[class], place: class,", "class: &r.cfg.Policy.Classes[class], place: min(class, 2),", "./internal/settings", "TestNamesAndOrderDecideNothing"},
+	{"one site's figure in a package variable", "internal/settings/settings.go", "	c := policy.Config{Seed: seed, Cores: fam.Cores,", "	if _, ok := semantics[\"cores\"]; !ok {\n		semantics[\"cores\"] = policy.Semantics(fam.Cores)\n	}\n	c := policy.Config{Seed: seed, Cores: int(semantics[\"cores\"]),", "./internal/settings", "TestNothingOfOneSiteIsSeenInAnother"},
+	{"a tenant's name in the program", "internal/replica/replica.go", "		q.Tenant = r.cfg.Tenants[tenant]\n", "		if q.Tenant = r.cfg.Tenants[tenant]; q.Tenant == \"hills-college\" {\n			q.Retry = false\n		}\n", "./internal/settings", "TestThePlatformsProgramNamesNoSite"},
+	{"tenants of a new file", "internal/settings/replica.go", "\"tenants\": slices.Equal(next.Tenants, r.Tenants), ", "", "./internal/settings", "TestAReloadTakesTheAddressesOnly"},
+	{"a name that is too long", "internal/front/thrift.go", "[]string{\"unique\", \"item\"}", "[]string{\"verb\", \"team\", \"unique\", \"item\"}", "./internal/front", "TestNamesAndWaitsAreBoundedByTheSettings"},
+	{"a read that is shared for too long", "internal/replica/host.go", "			k.until = now + r.cfg.Policy.ShareFor\n", "", "./internal/replica", "TestAReadIsSharedForAsLongAsTheSettingsSay"},
+	{"names held as they came", "internal/replica/replica.go", "		q.Tenant = r.cfg.Tenants[tenant]\n", "", "./internal/replica", "TestRequestsHoldTheSettingsNames"},
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -240,6 +240,9 @@
 		if k.ok {
 			r.keys.store(k, result)
 		}
+		if req.class.Semantics == policy.Safe { // its answer may be handed on for so long, and no margin helps anybody
+			k.until = now + r.cfg.Policy.ShareFor
+		}
 		r.release(k, a, end)
 		r.tellEntry(k)
 	}
--- a/internal/settings/replica.go
+++ b/internal/settings/replica.go
@@ -8,8 +8,11 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"cairnlane/policy"
 )
@@ -96,9 +99,18 @@
 	if next.Name != r.Name || next.Listen != r.Listen {
 		return nil, fmt.Errorf("configuration: %s at %s cannot become %s at %s without a restart", r.Name, r.Listen, next.Name, next.Listen)
 	}
-	if !reflect.DeepEqual(next.Policy, r.Policy) || next.Limits != r.Limits || next.OnCores != r.OnCores {
-		log.Print("configuration: new limits and settings need a restart; only the addresses are taken")
-		next.Policy, next.Settings, next.Limits, next.OnCores = r.Policy, r.Settings, r.Limits, r.OnCores
+	var changed []string
+	for what, same := range map[string]bool{"settings": reflect.DeepEqual(next.Policy, r.Policy) && next.OnCores == r.OnCores,
+		"tenants": slices.Equal(next.Tenants, r.Tenants), "limits": next.Limits == r.Limits} {
+		if !same {
+			changed = append(changed, what)
+		}
+	}
+	if slices.Sort(changed); len(changed) > 0 {
+		log.Printf("configuration: other %s need a restart; only the addresses are taken", strings.Join(changed, ", "))
+		taken := *next
+		*next = *r
+		next.Engine, next.Directory, next.Stop = taken.Engine, taken.Directory, taken.Stop
 	}
 	return next, nil
 }
@@ -156,6 +168,28 @@
 	return r, r.check()
 }
 
+// names checks those of classes and tenants: each is one word on the engine's link, and stands for one thing.
+func names(s *Settings) error {
+	seen := map[string]int{}
+	for i, l := range s.Lanes {
+		if l.Name == "" || strings.ContainsFunc(l.Name, func(c rune) bool { return unicode.IsSpace(c) || unicode.IsControl(c) }) {
+			return fmt.Errorf("configuration: the name of class %d (settings, lanes) must be one word, is %q", i, l.Name)
+		}
+		if first, twice := seen[l.Name]; twice {
+			return fmt.Errorf("configuration: classes %d and %d (settings, lanes) are both named %q", first, i, l.Name)
+		}
+		seen[l.Name] = i
+	}
+	clear(seen)
+	for i, t := range s.Tenants {
+		if first, twice := seen[t.Name]; twice {
+			return fmt.Errorf("configuration: tenants %d and %d (settings, tenants) are both named %q", first, i, t.Name)
+		}
+		seen[t.Name] = i
+	}
+	return nil
+}
+
 // check turns down what the engine's protocol at this site cannot carry out.
 func (r *Replica) check() error {
 	if r.Policy.Halt != policy.NoHalt {
@@ -164,10 +198,16 @@
 	if r.Policy.Dependency != policy.NoDependency {
 		return errors.New("configuration: the engine's protocol has no calls, the settings want them")
 	}
+	if err := names(r.Settings); err != nil {
+		return err
+	}
 	for _, l := range r.Settings.Lanes {
 		if _, known := semantics[l.Semantics]; !known { // taken for safe, it could run twice
 			return fmt.Errorf("configuration: class %q has unknown semantics %q", l.Name, l.Semantics)
 		}
+		if semantics[l.Semantics] == policy.Keyed && l.Window <= 0 {
+			return fmt.Errorf(`configuration: class %q may come again and has no "dedup-window" above 0`, l.Name)
+		}
 	}
 	if r.OnCores < 0 {
 		return errors.New(`configuration: the settings list no gauge "on_cores"`)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -55,6 +56,18 @@
 			t.Errorf("%s: %+v, error %v", new, next, err)
 		}
 	}
+	// What changes beside them is left alone in whole: tenants used to be taken into the configuration, though no request was
+	// judged by them.
+	for old, new := range map[string]string{`"hills-college"`: `"hills"`, `"lecture-page"`: `"lectures"`, `"sockets": 1024`: `"sockets": 512`, `"engine": "127.0.0.1:4400"`: `"engine": "127.0.0.1:4401"`} {
+		next, err := reload(old, new)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Engine = r.Engine
+		if next.Settings = r.Settings; !reflect.DeepEqual(next, r) {
+			t.Errorf("%s: %+v, want %+v", new, next, r)
+		}
+	}
 	for old, new := range map[string]string{`:7001`: `:7002`, `"name": "n0"`: `"name": "n1"`, `{`: `[`} {
 		if _, err := reload(old, new); err == nil {
 			t.Errorf("%s is taken", new)
@@ -75,6 +88,10 @@
 		"calls":             {`"depends-on": "off"`, `"depends-on": "common"`},
 		`"on_cores"`:        {`"on_cores"`, `"cores_on"`},
 		"settings":          {`"cores": 6`, `"cores": "six"`},
+		"must be one word":  {`"lecture-page"`, `"lecture page"`},
+		"classes 0 and 1":   {`"lecture-page"`, `"segment-fetch"`},
+		"tenants 0 and 1":   {`"hills-college"`, `"riverside-uni"`},
+		`no "dedup-window"`: {`"dedup-window": 9618000`, `"dedup-window": 0`},
 		"class \"note-save": {`"semantics": "idempotency_key"`, `"semantics": "odd"`},
 	} {
 		bad := strings.Replace(good, change[0], change[1], 1)
