Close what others wait for before the process ends, and never accept beside the poller

The listener now keeps one descriptor aside and turns away with it. - A panic in a callback ended in netpoll's pool as a line in its log, also in debug builds, whose failed invariants it swallowed. It is counted with its stack and ends that connection; debug builds end.

--- a/internal/assert/assert.go
+++ b/internal/assert/assert.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"sync"
 )
 
@@ -30,6 +31,19 @@
 	return false
 }
 
+// Panicked takes what a callback on one connection has panicked with, which would otherwise end in netpoll's pool as a
+// line in the log. In release builds it is counted like a check that failed, the stack is printed, and the caller ends
+// that connection alone; builds with the debug tag end.
+func Panicked(where string, p any) {
+	fmt.Fprintf(os.Stderr, "cairnlane: panic at %s: %v\n%s", where, p, debug.Stack())
+	if panics {
+		os.Exit(2)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	failed["no panic at "+where]++
+}
+
 // Failures tells how many checks have failed since the start.
 func Failures() int64 {
 	mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"cairnlane/internal/assert"
@@ -34,6 +35,7 @@
 	// process of a replacement, which are those results and little more.
 	resultShare, engineShare, peerShare = 8, 8, 6
 	exitBefore                          = 60 * time.Millisecond
+	closeTime                           = 5 * time.Millisecond  // what the process holds is closed within it, or by its end
 	killBefore                          = 10 * time.Millisecond // what is not quiet by then is not waited for
 	drainPoll                           = 5 * time.Millisecond
 )
@@ -116,7 +118,9 @@
 	door     *operator.Door // nil without an address for it
 	past     link.Past
 	reporter *catalog.Reporter
-	failed   chan error // of the listener
+	failed   chan error     // of the listener
+	cancel   func()         // ends the links
+	links    sync.WaitGroup // to the engine and to the other process
 	reloads  *counters.Counter
 	turned   *counters.Counter // configurations that were turned down
 }
@@ -131,6 +135,7 @@
 	if err != nil {
 		return err
 	}
+	s.cancel = cancel
 	if err := s.begin(ctx); err != nil {
 		return err
 	}
@@ -192,9 +197,9 @@
 		go s.door.Sweep(ctx)
 		log.Printf("operators may call at %s", s.door.Addr())
 	}
-	go s.engine.Keep(ctx, p)
+	s.links.Go(func() { s.engine.Keep(ctx, p) })
 	if p.peer != nil {
-		go p.peer.Keep(ctx, s.past, neighbour{p})
+		s.links.Go(func() { p.peer.Keep(ctx, s.past, neighbour{p}) })
 	}
 	if s.past != link.Follows {
 		p.take(lifecycle.Inherited)
@@ -266,9 +271,28 @@
 	for _, part := range slices.Backward(s.parts) {
 		part.Close()
 	}
+	s.close()
 	os.Exit(0)
 }
 
+// close ends what others wait for, as nothing is owed any more: the links and the claims on keys, the door. The end of a
+// process that has exited was seen to take the kernel 1.4 s, and the successor waited for it.
+func (s *service) close() {
+	s.cancel()
+	closed := make(chan struct{})
+	go func() {
+		s.links.Wait()
+		if s.door != nil {
+			s.door.Close()
+		}
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTime):
+	}
+}
+
 // reading is a configuration that was read anew, or why it was turned down.
 type reading struct {
 	next *settings.Replica
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
 	"cairnlane/internal/outbox"
 )
@@ -112,7 +113,9 @@
 			case <-l.moved:
 				try = -1
 				continue
-			case <-ctx.Done():
+			case <-ctx.Done(): // closed here, as the end of a process may take its time
+				open.Close()
+				<-open.broken
 				return
 			}
 		}
@@ -206,6 +209,12 @@
 
 // read takes all that has come in. Garbage from the engine ends the link, which is then taken up anew.
 func (l *Link) read(sess *session, c netpoll.Connection) error {
+	defer func() {
+		if p := recover(); p != nil {
+			assert.Panicked("the link to the engine", p)
+			c.Close()
+		}
+	}()
 	l.reading.Lock()
 	defer l.reading.Unlock()
 	r := c.Reader()
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -302,3 +302,25 @@
 		t.Errorf("another connection's side is ended: %v", err)
 	}
 }
+
+// The link used to end with the process, which may take its time over that; its engine knew of nothing until then.
+func TestALinkEndsBeforeItsProcess(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := NewLink(ln.Addr().String(), testkit.NewClock().Now, new(counters.Set))
+	ended := make(chan struct{})
+	go func() {
+		l.Keep(ctx, &toldEvents{make(chan time.Duration, 4), make(chan string, 4)})
+		close(ended)
+	}()
+	_, r := accept(t, ln, 0)
+	cancel()
+	<-ended
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the engine reads %v", err)
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/time/rate"
 
+	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/outbox"
@@ -141,7 +142,7 @@
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
 // Serve accepts connections until the listener closes.
-func (s *Server) Serve() error { return s.loop.Serve(s.ln) }
+func (s *Server) Serve() error { return s.loop.Serve(newAccepting(s.ln, s.count.turned)) }
 
 type connKey struct{}
 
@@ -206,6 +207,12 @@
 	if !ok {
 		return nc.Close()
 	}
+	defer func() {
+		if p := recover(); p != nil {
+			assert.Panicked("a router connection", p)
+			s.want(c, conns.Broken)
+		}
+	}()
 	r := nc.Reader()
 	if !c.enter() {
 		return s.discard(c, r)
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cairnlane/internal/counters"
 	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
@@ -194,3 +196,51 @@
 		t.Errorf("the other router gets %+v, %v", h, ok)
 	}
 }
+
+// Without descriptors netpoll used to accept from a goroutine of its own, beside the poller, once there were some again.
+// Who comes meanwhile is turned away by the poller itself, and who comes later is served.
+func TestWithoutDescriptorsThePollerTurnsAway(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", 100, new(echo), testkit.NewClock().Now, new(counters.Set))
+	if err != nil {
+		t.Fatal(err)
+	}
+	early := []net.Conn{dial(t, s), dial(t, s)} // they wait to be accepted
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	ln := newAccepting(s.ln, s.count.turned)
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: min(was.Cur, 256), Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	var held []int
+	for {
+		fd, err := unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+		if err != nil {
+			break
+		}
+		held = append(held, fd)
+	}
+	go s.loop.Serve(ln)
+	for _, c := range early {
+		if _, ok := receive(t, c); ok {
+			t.Error("a message without a call")
+		}
+	}
+	for _, fd := range held {
+		unix.Close(fd)
+	}
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	if n := s.count.turned.Load(); n != 2 || s.count.accepted.Load() != 0 {
+		t.Errorf("%d turned away, %d accepted", n, s.count.accepted.Load())
+	}
+	late := dial(t, s)
+	if _, err := late.Write(message("serve", 1, fields(), "b")); err != nil {
+		t.Fatal(err)
+	}
+	if h, ok := receive(t, late); !ok || h.Seq != 1 {
+		t.Errorf("with descriptors again: %+v, %v", h, ok)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -164,9 +164,11 @@
 	l.mark = m
 }
 
-// Keep keeps up the link until ctx ends. past is Open's.
+// Keep keeps up the link until ctx ends, and has given up the lock then: the other process must not wait for this one's
+// end, which may take its time. past is Open's.
 func (l *Link) Keep(ctx context.Context, past Past, events Events) {
 	l.events = events
+	defer l.release()
 	if past == Follows {
 		if !l.follow(ctx) {
 			return
@@ -187,6 +189,14 @@
 	}
 }
 
+// release gives up the lock.
+func (l *Link) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner = false
+	l.lock.Close()
+}
+
 // path is the socket's, through the folder's descriptor where it would be too long.
 func (l *Link) path() (string, func(), error) {
 	p := filepath.Join(l.dir, socketName)
@@ -239,7 +249,11 @@
 	var gone time.Time // since when no owner answers
 	for ctx.Err() == nil {
 		if c, err := l.dial(); err == nil {
-			told = l.run(ctx, c, true)
+			// An owner that ends may leave its socket for a moment longer than the link: a link on which nothing is said
+			// takes nothing back. Whether the owner has run anything since the one before, its mark says.
+			if all, heard := l.run(ctx, c, true); heard {
+				told = all
+			}
 			gone = time.Time{}
 			if !told {
 				time.Sleep(dialPause) // it does not want us, or has ended; see waitForTold
@@ -275,13 +289,14 @@
 	return net.DialUnix("unix", nil, &net.UnixAddr{Name: p, Net: "unix"})
 }
 
-// run carries one link to its end and tells whether this process, as a guest, was told all that the owner owed.
-func (l *Link) run(ctx context.Context, c *net.UnixConn, guest bool) (told bool) {
+// run carries one link to its end and tells whether this process, as a guest, was told all that the owner owed, and
+// whether it was told anything.
+func (l *Link) run(ctx context.Context, c *net.UnixConn, guest bool) (told, heard bool) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		log.Print("hand-over: ", err)
 		c.Close()
-		return false
+		return false, false
 	}
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	l.mu.Lock()
@@ -303,6 +318,7 @@
 	}
 	greeted := guest
 	err = read(c, func(m *handover.Message) error {
+		heard = true
 		switch {
 		case m.Kind == handover.Hello && !greeted && m.N == handover.Version:
 			greeted = true
@@ -317,9 +333,9 @@
 	})
 	if err != nil && ctx.Err() == nil {
 		log.Print("hand-over: the link to the other process: ", err)
-		told = false // what came after it is not known
+		told, heard = false, true // what came after it is not known
 	}
-	return told && guest
+	return told && guest, heard
 }
 
 // read reads messages to the end of the link.
--- a/internal/operator/door.go
+++ b/internal/operator/door.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
 )
 
@@ -101,6 +102,12 @@
 // read is netpoll's callback: a caller has sent something.
 func (d *Door) read(ctx context.Context, nc netpoll.Connection) error {
 	c := ctx.Value(callerKey{}).(*caller)
+	defer func() {
+		if p := recover(); p != nil {
+			assert.Panicked("the operators' door", p)
+			nc.Close()
+		}
+	}()
 	r := nc.Reader()
 	p, err := r.Next(r.Len())
 	if err != nil {
