Have a moved reporter wait for no answer of the old catalog, and test what crosses an end

Cause, by reading (catalog.go Keep, Move): the first report to a new catalog waited for the one that the old catalog had taken and did not answer, half a second of the three that an entry lives. A move ends that report now. Tests for what was right already: reports go on whatever a catalog says or leaves unsaid; half a request behind a whole one does not take the last answer at the end of the process, which is followed by the end, not a reset; two that end one connection end it once.

--- a/cmd/cairnlane/drain_test.go
+++ b/cmd/cairnlane/drain_test.go
@@ -357,3 +357,33 @@
 	// The old engine has not said that it read them: they may not be written again, as a save could run twice.
 	p.ends(t, "answers_served=2", "configurations_reloaded=2", "configurations_turned_down=2", "runs_in_doubt=2", "engine_runs_sent=2")
 }
+
+// TestHalfARequestDoesNotTakeTheLastAnswer has a router leave half a request behind a whole one as the replica leaves, and
+// read its answer only after the program has ended: it is all there, and then the end, not a reset.
+func TestHalfARequestDoesNotTakeTheLastAnswer(t *testing.T) {
+	p, config := prepare(t)
+	if err := os.WriteFile(p.path, []byte(strings.Replace(config, `"stop_ms": 3200`, `"stop_ms": 900`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.begin(t)
+	p.serves(t)
+	run := p.ask(t, 1)
+	if _, err := p.router.Write([]byte{0, 0, 1, 0, 0x80, 1}); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(t, syscall.SIGTERM)
+	if got := strings.Join(p.answers(t, 1), ", "); got != "goaway 0 0" {
+		t.Fatalf("on the notice to leave: %s", got)
+	}
+	fmt.Fprintf(p.link, "DONE 1 %s fine 5 2\r\nok\r\n", run[1])
+	p.read(t, p.log, "connections_ended_exit=1")
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("exit %v", err)
+	}
+	if got := strings.Join(p.answers(t, 1), ", "); got != "serve 1 0" {
+		t.Errorf("the last answer: %s", got)
+	}
+	if _, err := p.router.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("then %v, want the end", err)
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -38,6 +38,7 @@
 	moved   chan struct{} // the address is another one now
 	client  http.Client
 	leaving atomic.Bool
+	open    atomic.Pointer[context.CancelFunc] // ends the report that is on its way
 	pace    atomic.Pointer[Pace]
 	sent    *counters.Counter
 	failed  *counters.Counter
@@ -62,6 +63,9 @@
 		return
 	}
 	r.client.CloseIdleConnections()
+	if end := r.open.Load(); end != nil { // what the old catalog would say does not count any more
+		(*end)()
+	}
 	select {
 	case r.moved <- struct{}{}:
 	default:
@@ -126,6 +130,9 @@
 }
 
 func (r *Reporter) report(ctx context.Context, leaving bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.open.Store(&cancel) // before the address is read: a move ends this report or is seen by it
 	status := "passing"
 	if leaving {
 		status = "critical"
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,12 +1,15 @@
 package catalog
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"cairnlane/internal/counters"
 )
@@ -69,3 +72,75 @@
 		}
 	}
 }
+
+// A move used to wait for the report that the old catalog had taken and did not answer.
+func TestAMoveWaitsForNoAnswerOfTheOldCatalog(t *testing.T) {
+	asked, release := make(chan struct{}, 1), make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		asked <- struct{}{}
+		<-release
+	}))
+	defer old.Close()
+	defer close(release)
+	told := make(chan struct{}, 8)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+		told <- struct{}{}
+	}))
+	defer next.Close()
+	r := NewReporter(strings.TrimPrefix(old.URL, "http://"), "n3", new(counters.Set))
+	r.client.Timeout = 0 // only the move ends the report
+	go r.Keep(t.Context())
+	<-asked
+	r.Move(strings.TrimPrefix(next.URL, "http://"))
+	select {
+	case <-told:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the new catalog hears nothing")
+	}
+}
+
+// Whatever a catalog does with a report, the next one goes out, each on a connection whose last answer was whole.
+func TestReportsGoOnWhateverTheCatalogDoes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	set := new(counters.Set)
+	r := NewReporter(ln.Addr().String(), "n3", set)
+	r.client.Timeout = 100 * time.Millisecond
+	go r.Keep(t.Context())
+	const whole = "HTTP/1.1 204 No Content\r\n\r\n"
+	answers := []string{"", "HTTP/1.1 204 No", "what\r\n\r\n", "HTTP/1.1 500 Odd\r\nContent-Length: 9\r\n\r\nhalf", whole}
+	for n, answer := range answers {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		in := bufio.NewReader(c)
+		for range 1 + n/4 { // the whole answer comes twice, as its connection is used again
+			q, err := http.ReadRequest(in)
+			if err != nil {
+				t.Fatalf("answer %d: %v", n, err)
+			}
+			if body, err := io.ReadAll(q.Body); err != nil || string(body) != `{"status":"passing"}` {
+				t.Fatalf("answer %d: %q, %v", n, body, err)
+			}
+			if _, err := io.WriteString(c, answer); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if answer != whole { // late, when the report has been given up: nobody reads it
+			if _, err := in.ReadByte(); err == nil {
+				t.Fatalf("answer %d: more is said on that connection", n)
+			}
+			io.WriteString(c, whole)
+		}
+	}
+	if n := set.Get("catalog_reports_failed").Load(); n != 4 {
+		t.Errorf("%d reports failed", n)
+	}
+}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -244,3 +244,31 @@
 		t.Errorf("with descriptors again: %+v, %v", h, ok)
 	}
 }
+
+// Two that end one connection at the same moment, the sweep and its writer say, end it once.
+func TestAnEndIsCarriedOutOnce(t *testing.T) {
+	s := serve(t, 100)
+	peer := dial(t, s)
+	if _, err := peer.Write(message("isWell", 1, nil, "")); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := receive(t, peer); !ok {
+		t.Fatal("no answer")
+	}
+	s.mu.Lock()
+	var c *conn
+	for c = range s.conns {
+	}
+	s.mu.Unlock()
+	if a := c.look(conns.Broken); a != conns.Close {
+		t.Fatalf("action %v", a)
+	}
+	s.act(c, conns.Close)
+	s.act(c, conns.Close)
+	if _, ok := receive(t, peer); ok {
+		t.Error("it goes on")
+	}
+	if n := s.count.ended[conns.Broken].Load(); n != 1 {
+		t.Errorf("it ended %d times", n)
+	}
+}
--- a/internal/lab/mutants/crossings.go
+++ b/internal/lab/mutants/crossings.go
@@ -24,4 +24,10 @@
 	{"a lock that ends with the process", "internal/handover/link.go", "	l.lock.Close()\n", "", "./internal/handover", "TestAProcessTakesOverFromTheOneBeforeIt"},
 	{"a silent link takes back what was told", "internal/handover/link.go", "if all, heard := l.run(ctx, c, true); heard {", "if all, heard := l.run(ctx, c, true); heard || true {", "./internal/handover", "TestALinkOnWhichNothingIsSaidTakesNothingBack"},
 	{"part of what is owed counts as all", "internal/handover/link.go", "			if all, heard := l.run(ctx, c, true); heard {", "			if all, heard := l.run(ctx, c, true); heard && all {", "./internal/handover", "TestALinkOnWhichNothingIsSaidTakesNothingBack"},
+	{"a move that waits for the old catalog", "internal/catalog/catalog.go", "		(*end)()\n", "		_ = end\n", "./internal/catalog", "TestAMoveWaitsForNoAnswerOfTheOldCatalog"},
+	{"half a request keeps its connection", "internal/decide/conns/ending.go", "return v.Kernel == 0 && ", "return !v.Partial && v.Kernel == 0 && ", "./cmd/cairnlane", "TestHalfARequestDoesNotTakeTheLastAnswer"},
+	{"signals once the configuration is read", "cmd/cairnlane/main.go", "	daemon.Catch()\n", "", "./cmd/cairnlane", "TestSignalsWhileTheConfigurationIsRead"},
+	{"the notice to leave waits for a file", "internal/daemon/daemon.go", "			reload, read = nil, s.read()\n", "			r := <-s.read()\n			s.reload(r.next, r.err)\n", "./cmd/cairnlane", "TestTheNoticeToLeaveWaitsForNothing"},
+	{"an engine's end word that is not known is fine", "internal/engine/lines.go", "		if !known {", "		if false && !known {", "./internal/engine", "TestGarbageEndsTheLink"},
+	{"an end that is carried out twice", "internal/front/ends.go", "	case conns.Close:\n		c.mu.Lock()\n		first := !c.shut", "	case conns.Close:\n		c.mu.Lock()\n		first := true", "./internal/front", "TestAnEndIsCarriedOutOnce"},
 }
