Wait for an address that is still taken, and table where two events can cross

Cause, by reading (daemon.go assemble): a start whose address was taken ended at once. The address is waited for now, 10 s at the most; the notice to leave ends the wait with 0. The test holds the address until the program says that it waits.

--- a/cmd/cairnlane/drain_test.go
+++ b/cmd/cairnlane/drain_test.go
@@ -387,3 +387,34 @@
 		t.Errorf("then %v, want the end", err)
 	}
 }
+
+// TestAnAddressThatIsStillTakenIsWaitedFor starts a replica while the process before it still has its address, whose end may be
+// late: it used to end with an error. It serves once the address is free, and goes if it is told to before.
+func TestAnAddressThatIsStillTakenIsWaitedFor(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		old, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, config := prepare(t)
+		if err := os.WriteFile(p.path, []byte(strings.Replace(config, "127.0.0.1:0", old.Addr().String(), 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.begin(t)
+		p.read(t, p.log, "address already in use: waiting for it")
+		if leaves {
+			p.signal(t, syscall.SIGTERM)
+			io.Copy(io.Discard, p.log)
+			old.Close()
+		} else {
+			old.Close()
+			p.serves(t)
+			p.router.Close()
+			p.signal(t, syscall.SIGTERM)
+			io.Copy(io.Discard, p.log)
+		}
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("leaves %v: exit %v", leaves, err)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"math"
@@ -11,6 +12,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"cairnlane/internal/assert"
@@ -38,6 +40,8 @@
 	closeTime                           = 5 * time.Millisecond  // what the process holds is closed within it, or by its end
 	killBefore                          = 10 * time.Millisecond // what is not quiet by then is not waited for
 	drainPoll                           = 5 * time.Millisecond
+	claimTime                           = 10 * time.Second // see claim
+	claimPoll                           = 20 * time.Millisecond
 )
 
 // Part is what a process may have beside the replica and its plain listener: TLS, a control socket, a fleet.
@@ -132,6 +136,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s, err := assemble(path, cfg, started, parts)
+	if errors.Is(err, errLeft) {
+		log.Print(err)
+		os.Exit(0)
+	}
 	if err != nil {
 		return err
 	}
@@ -158,7 +166,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.server, err = listen(cfg, p, s.clk, s.set); err != nil {
+	err = s.claim(func() (err error) {
+		s.server, err = listen(cfg, p, s.clk, s.set)
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
 	p.split = newSplit(cfg.Limits, s.server, p.Replica)
@@ -166,7 +178,11 @@
 	s.server.Waits(longest(cfg))
 	s.server.CloseIdle(cfg.Policy.IdleMax) // routers close theirs by then; who does not holds a descriptor for nothing
 	if cfg.Control != "" {
-		if s.door, err = operator.Listen(cfg.Control, door{p}, s.clk.Now, s.set); err != nil {
+		err = s.claim(func() (err error) {
+			s.door, err = operator.Listen(cfg.Control, door{p}, s.clk.Now, s.set)
+			return err
+		})
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -345,6 +361,30 @@
 	return front.Listen(cfg.Listen, plan.Alone(), core, clk.Now, set)
 }
 
+// errLeft says that the notice to leave came before anything was begun.
+var errLeft = errors.New("told to leave before the addresses were free")
+
+// claim takes an address. A process that was here before may hold it for a moment longer than it seems to live: its end was
+// seen to take the kernel 1.4 s. So one that is taken is waited for; a platform gives a start 30 s.
+func (s *service) claim(listen func() error) error {
+	said := false
+	for end := s.clk.Now() + claimTime; ; time.Sleep(claimPoll) {
+		err := listen()
+		if !errors.Is(err, syscall.EADDRINUSE) || s.clk.Now() >= end {
+			return err
+		}
+		if !said {
+			said = true
+			log.Printf("%v: waiting for it, %v at the most", err, claimTime)
+		}
+		select {
+		case <-s.signals.leave:
+			return errLeft
+		default:
+		}
+	}
+}
+
 // leave drains: work goes on through the grace, then routers are asked to go, and the process ends as
 // soon as they have, at the latest just before it would be stopped.
 func (s *service) leave(cfg *settings.Replica) {
--- a/internal/lab/mutants/crossings.go
+++ b/internal/lab/mutants/crossings.go
@@ -30,4 +30,5 @@
 	{"the notice to leave waits for a file", "internal/daemon/daemon.go", "			reload, read = nil, s.read()\n", "			r := <-s.read()\n			s.reload(r.next, r.err)\n", "./cmd/cairnlane", "TestTheNoticeToLeaveWaitsForNothing"},
 	{"an engine's end word that is not known is fine", "internal/engine/lines.go", "		if !known {", "		if false && !known {", "./internal/engine", "TestGarbageEndsTheLink"},
 	{"an end that is carried out twice", "internal/front/ends.go", "	case conns.Close:\n		c.mu.Lock()\n		first := !c.shut", "	case conns.Close:\n		c.mu.Lock()\n		first := true", "./internal/front", "TestAnEndIsCarriedOutOnce"},
+	{"an address that is taken ends the start", "internal/daemon/daemon.go", "if !errors.Is(err, syscall.EADDRINUSE) || ", "if err == nil || errors.Is(err, syscall.EADDRINUSE) || ", "./cmd/cairnlane", "TestAnAddressThatIsStillTakenIsWaitedFor"},
 }
