--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,10 +1,8 @@
 package catalog
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +10,7 @@
 	"time"
 
 	"cairnlane/internal/counters"
+	"cairnlane/internal/testkit"
 )
 
 func TestReportsUntilTheLastOne(t *testing.T) {
@@ -102,43 +101,31 @@
 
 // Whatever a catalog does with a report, the next one goes out, each on a connection whose last answer was whole.
 func TestReportsGoOnWhateverTheCatalogDoes(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	set := new(counters.Set)
+	ln, set := testkit.Listen(t), new(counters.Set)
 	r := NewReporter(ln.Addr().String(), "n3", set)
 	r.client.Timeout = 100 * time.Millisecond
 	go r.Keep(t.Context())
-	const whole = "HTTP/1.1 204 No Content\r\n\r\n"
-	answers := []string{"", "HTTP/1.1 204 No", "what\r\n\r\n", "HTTP/1.1 500 Odd\r\nContent-Length: 9\r\n\r\nhalf", whole}
-	for n, answer := range answers {
-		c, err := ln.Accept()
+	reads := func(c *testkit.Peer, answer string) {
+		t.Helper()
+		q, err := http.ReadRequest(c.In)
 		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(20 * time.Second))
-		in := bufio.NewReader(c)
-		for range 1 + n/4 { // the whole answer comes twice, as its connection is used again
-			q, err := http.ReadRequest(in)
-			if err != nil {
-				t.Fatalf("answer %d: %v", n, err)
-			}
-			if body, err := io.ReadAll(q.Body); err != nil || string(body) != `{"status":"passing"}` {
-				t.Fatalf("answer %d: %q, %v", n, body, err)
-			}
-			if _, err := io.WriteString(c, answer); err != nil {
-				t.Fatal(err)
-			}
+			t.Fatalf("answer %q: %v", answer, err)
 		}
-		if answer != whole { // late, when the report has been given up: nobody reads it
-			if _, err := in.ReadByte(); err == nil {
-				t.Fatalf("answer %d: more is said on that connection", n)
-			}
-			io.WriteString(c, whole)
+		if body, err := io.ReadAll(q.Body); err != nil || string(body) != `{"status":"passing"}` {
+			t.Fatalf("answer %q: %q, %v", answer, body, err)
 		}
+		c.Says("%s", answer)
+	}
+	const whole = "HTTP/1.1 204 No Content\r\n\r\n"
+	for _, answer := range []string{"", "HTTP/1.1 204 No", "what\r\n\r\n", "HTTP/1.1 500 Odd\r\nContent-Length: 9\r\n\r\nhalf"} {
+		c := testkit.Accept(t, ln)
+		reads(c, answer)
+		c.Ends()                 // the report has been given up
+		io.WriteString(c, whole) // and nobody reads what comes late
+	}
+	c := testkit.Accept(t, ln)
+	for range 2 { // whose connection is used again
+		reads(c, whole)
 	}
 	if n := set.Get("catalog_reports_failed").Load(); n != 4 {
 		t.Errorf("%d reports failed", n)
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -1,13 +1,9 @@
 package engine
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"testing"
 	"time"
 
@@ -36,64 +32,91 @@
 	e.attached <- since
 }
 
-// accept takes the next link, checks its ATTACH and answers HELLO, then reads the STAT.
-func accept(t *testing.T, ln net.Listener, last int) (net.Conn, *bufio.Reader) {
+// world is a link with the engine that the test is.
+type world struct {
+	*Link
+	*toldEvents
+	t     *testing.T
+	ln    net.Listener
+	clock *testkit.Clock
+	set   *counters.Set
+	end   context.CancelFunc
+	ended chan struct{} // closes when Keep has returned
+}
+
+// newWorld has a link kept up; edit may change it before.
+func newWorld(t *testing.T, edit func(*Link)) *world {
 	t.Helper()
-	c, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	r := bufio.NewReader(c)
-	expect(t, r, fmt.Sprintf("ATTACH %d\r\n", last))
-	fmt.Fprint(c, "HELLO running 5\r\n")
-	expect(t, r, "STAT g1\r\n")
-	return c, r
+	w := &world{toldEvents: &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}, t: t, ln: testkit.Listen(t), clock: testkit.NewClock(),
+		set: new(counters.Set), ended: make(chan struct{})}
+	w.Link = NewLink(w.ln.Addr().String(), w.clock.Now, w.set)
+	edit(w.Link)
+	ctx, cancel := context.WithCancel(t.Context())
+	w.end = cancel
+	go func() {
+		w.Keep(ctx, w.toldEvents)
+		close(w.ended)
+	}()
+	return w
+}
+
+func asItIs(*Link) {}
+
+// stop ends the link, before its peers do: under the race detector netpoll finds a connection by its descriptor alone, and
+// what a peer's end and ours leave in its hands together may reach the next that has the number.
+func (w *world) stop() {
+	w.end()
+	<-w.ended
 }
 
-func expect(t *testing.T, r *bufio.Reader, line string) {
+// accept takes the next link at a listener, checks its ATTACH and answers HELLO, then reads the STAT.
+func accept(t *testing.T, ln net.Listener, last int) *testkit.Peer {
 	t.Helper()
-	if got, err := r.ReadString('\n'); got != line {
-		t.Fatalf("the engine reads %q (%v), want %q", got, err, line)
+	c := testkit.Accept(t, ln)
+	c.Reads(fmt.Sprintf("ATTACH %d\r\n", last))
+	c.Says("HELLO running 5\r\n")
+	c.Reads("STAT g1\r\n")
+	return c
+}
+
+// attach has the next link taken up to where runs are taken, and gives since when what was written may be lost.
+func (w *world) attach(ln net.Listener, last int) (*testkit.Peer, time.Duration) {
+	w.t.Helper()
+	c := accept(w.t, ln, last)
+	c.Says("STATS g1 0 0 0 0\r\n")
+	return c, <-w.attached
+}
+
+// wants demands the end of a run next.
+func (w *world) wants(end string) {
+	w.t.Helper()
+	if got := <-w.done; got != end {
+		w.t.Errorf("told %q, want %q", got, end)
 	}
 }
 
 func TestALostLinkIsTakenUpFromTheLastNotice(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	e := &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}
-	l := NewLink(ln.Addr().String(), testkit.NewClock().Now, new(counters.Set))
-	if l.Run("a", "x", nil) {
+	w := newWorld(t, asItIs)
+	defer w.stop()
+	if w.Run("a", "x", nil) {
 		t.Error("a run is taken with no link")
 	}
-	go l.Keep(ctx, e)
-	c, r := accept(t, ln, 0)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	<-e.attached
-	if !l.Run("aa", "x", []byte("b")) {
+	c, _ := w.attach(w.ln, 0)
+	if !w.Run("aa", "x", []byte("b")) {
 		t.Fatal("the link takes no run")
 	}
-	expect(t, r, "RUN aa x 1\r\n")
-	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\n")
-	if got := <-e.done; got != "aa ok" {
-		t.Errorf("told %q", got)
-	}
+	c.Reads("RUN aa x 1\r\nb\r\n")
+	c.Says("DONE 1 aa fine 3 2\r\nok\r\n")
+	w.wants("aa ok")
 	c.Close()
-	c, _ = accept(t, ln, 1)
-	if l.Run("bb", "x", nil) {
+	c = accept(t, w.ln, 1)
+	if w.Run("bb", "x", nil) {
 		t.Error("a run is taken before what was missed was told")
 	}
-	fmt.Fprint(c, "DONE 2 cc fine 3 0\r\n\r\nSTATS g1 0 0 0 0\r\n")
-	if got := <-e.done; got != "cc " {
-		t.Errorf("told %q", got)
-	}
-	<-e.attached
-	if !l.Run("bb", "x", nil) {
+	c.Says("DONE 2 cc fine 3 0\r\n\r\nSTATS g1 0 0 0 0\r\n")
+	w.wants("cc ")
+	<-w.attached
+	if !w.Run("bb", "x", nil) {
 		t.Error("the new link takes no run")
 	}
 }
@@ -101,178 +124,110 @@
 // A link used to have one address for good. A move flushes and ends the old link, takes what it still
 // tells, and goes on at the new address with the last notice read.
 func TestAMoveLosesAndDoublesNothing(t *testing.T) {
-	old, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer old.Close()
-	next, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer next.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	e := &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}
-	clock := testkit.NewClock()
-	l := NewLink(old.Addr().String(), clock.Now, new(counters.Set))
-	l.retireTime = time.Minute // the old link ends by itself, however slow this machine is
-	go l.Keep(ctx, e)
-	c, r := accept(t, old, 0)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	<-e.attached
-	l.Run("aa", "x", nil)
-	clock.Advance(time.Minute)
-	l.Move(next.Addr().String())
-	expect(t, r, "RUN aa x 0\r\n") // what was written is not cut off
-	expect(t, r, "\r\n")
-	expect(t, r, "STAT g2\r\n") // whose answer says that all of it was read
-	expect(t, r, "")
-	if l.Run("bb", "x", nil) {
+	w := newWorld(t, func(l *Link) { l.retireTime = time.Minute }) // the old link ends by itself, however slow this machine is
+	defer w.stop()
+	next := testkit.Listen(t)
+	c, _ := w.attach(w.ln, 0)
+	w.Run("aa", "x", nil)
+	w.clock.Advance(time.Minute)
+	w.Move(next.Addr().String())
+	c.Reads("RUN aa x 0\r\n\r\nSTAT g2\r\n") // what was written is not cut off, and the answer to the last says that it was read
+	c.Ends()
+	if w.Run("bb", "x", nil) {
 		t.Error("a run is taken by the link that retires")
 	}
-	clock.Advance(time.Second)
-	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\nSTATS g2 0 0 0 0\r\n")
-	if got := <-e.done; got != "aa ok" {
-		t.Errorf("told %q", got)
-	}
+	w.clock.Advance(time.Second)
+	c.Says("DONE 1 aa fine 3 2\r\nok\r\nSTATS g2 0 0 0 0\r\n")
+	w.wants("aa ok")
 	c.Close()
-	c, _ = accept(t, next, 1)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	if since := <-e.attached; since != testkit.Start+time.Minute {
+	if _, since := w.attach(next, 1); since != testkit.Start+time.Minute {
 		t.Errorf("what was written before %v has reached the engine, want up to the move", since-testkit.Start)
 	}
-	if !l.Run("bb", "x", nil) {
+	if !w.Run("bb", "x", nil) {
 		t.Error("the new link takes no run")
 	}
 }
 
 // A link that stays open and tells nothing used to be kept for good, and runs with it.
 func TestALinkThatGoesSilentIsGivenUp(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	e := &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}
-	clock := testkit.NewClock()
-	set := new(counters.Set)
-	l := NewLink(ln.Addr().String(), clock.Now, set)
-	go l.Keep(t.Context(), e)
-	c, r := accept(t, ln, 0)
-	clock.Advance(time.Minute) // the engine takes its time to say what was missed: the answer is still waited for
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	<-e.attached
-	if !l.AskGauges() {
+	w := newWorld(t, asItIs)
+	defer w.stop()
+	c := accept(t, w.ln, 0)
+	w.clock.Advance(time.Minute) // the engine takes its time to say what was missed: the answer is still waited for
+	c.Says("STATS g1 0 0 0 0\r\n")
+	<-w.attached
+	if !w.AskGauges() {
 		t.Fatal("the gauges are not asked for")
 	}
-	expect(t, r, "STAT g2\r\n")
-	clock.Advance(quietMost)
-	fmt.Fprint(c, "DONE 1 aa fine 3 2\r\nok\r\n") // it says something, if not the gauges
-	<-e.done
-	if clock.Advance(quietMost); !l.AskGauges() {
+	c.Reads("STAT g2\r\n")
+	w.clock.Advance(quietMost)
+	c.Says("DONE 1 aa fine 3 2\r\nok\r\n") // it says something, if not the gauges
+	w.wants("aa ok")
+	if w.clock.Advance(quietMost); !w.AskGauges() {
 		t.Fatal("an engine that talks is given up")
 	}
-	expect(t, r, "STAT g3\r\n")
-	if clock.Advance(time.Millisecond); l.AskGauges() {
+	c.Reads("STAT g3\r\n")
+	if w.clock.Advance(time.Millisecond); w.AskGauges() {
 		t.Error("a silent engine is asked once more")
 	}
-	if _, err := r.ReadByte(); err == nil {
-		t.Fatal("the silent link goes on")
-	}
-	c, r = accept(t, ln, 1) // and once more, before all that was missed has been told
-	clock.Advance(quietMost + time.Millisecond)
-	l.AskGauges()
-	if _, err := r.ReadByte(); err == nil {
-		t.Fatal("a link that goes silent as it is taken up goes on")
-	}
-	accept(t, ln, 1)
-	if n := set.Get("engine_links_silent").Load(); n != 2 {
+	c.Ends()
+	c = accept(t, w.ln, 1) // and once more, before all that was missed has been told
+	w.clock.Advance(quietMost + time.Millisecond)
+	w.AskGauges()
+	c.Ends()
+	accept(t, w.ln, 1)
+	if n := w.set.Get("engine_links_silent").Load(); n != 2 {
 		t.Errorf("%d links were given up", n)
 	}
-	c.Close()
 }
 
 // A link that was taken up anew and got no HELLO used to be kept for good: nothing was asked on it, so that nothing was
 // missed, and no run was sent any more. An engine that has not been heard of at all may take its time.
 func TestALinkWithoutHelloIsGivenUpLaterEachTime(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	e := &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}
-	clock := testkit.NewClock()
-	l := NewLink(ln.Addr().String(), clock.Now, new(counters.Set))
-	go l.Keep(t.Context(), e)
+	w := newWorld(t, asItIs)
+	defer w.stop()
 	hangs := func(last int, patience time.Duration) {
 		t.Helper()
-		c, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(20 * time.Second))
-		r := bufio.NewReader(c)
-		expect(t, r, fmt.Sprintf("ATTACH %d\r\n", last))
-		clock.Advance(patience)
-		l.AskGauges()
-		c.SetReadDeadline(time.Now().Add(time.Millisecond)) // it goes on, so that only the time ends this read
-		if _, err := r.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Fatalf("given up within %v: %v", patience, err)
-		}
-		c.SetReadDeadline(time.Now().Add(20 * time.Second))
-		clock.Advance(time.Millisecond)
-		l.AskGauges()
-		if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
-			t.Fatalf("not given up after %v: %v", patience, err)
-		}
+		c := testkit.Accept(t, w.ln)
+		c.Reads(fmt.Sprintf("ATTACH %d\r\n", last))
+		w.clock.Advance(patience)
+		w.AskGauges()
+		c.Stays()
+		w.clock.Advance(time.Millisecond)
+		w.AskGauges()
+		c.Ends()
 	}
 	hangs(0, 4*quietMost)
 	hangs(0, 8*quietMost)
-	c, _ := accept(t, ln, 0)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\nDONE 1 aa fine 3 0\r\n\r\n")
-	<-e.done
+	c, _ := w.attach(w.ln, 0)
+	c.Says("DONE 1 aa fine 3 0\r\n\r\n")
+	w.wants("aa ")
 	c.Close()
 	for _, patience := range []time.Duration{1, 2, 4, 8, 16, 16} {
 		hangs(1, patience*quietMost)
 	}
-	accept(t, ln, 1)
+	accept(t, w.ln, 1)
 }
 
 // RUNs of the last 150 ms before the engine was last heard used to count as lost, and older ones as read: one that stood in
 // our buffers for longer never ran. What tells is the answer to a question that was written behind them.
 func TestWhatStandsBeforeAnAnsweredQuestionHasReachedTheEngine(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	e := &toldEvents{make(chan time.Duration, 4), make(chan string, 4)}
-	clock := testkit.NewClock()
-	l := NewLink(ln.Addr().String(), clock.Now, new(counters.Set))
-	go l.Keep(t.Context(), e)
-	c, r := accept(t, ln, 0)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	<-e.attached
-	asked := clock.Now()
-	for n := 2; n <= 3; n++ { // the engine reads the second question and not the third
-		clock.Advance(time.Second)
-		l.AskGauges()
-		if n == 2 {
-			asked = clock.Now()
-			expect(t, r, "STAT g2\r\n")
-		}
-	}
-	fmt.Fprint(c, "STATS g2 0 0 0 0\r\nDONE 1 aa fine 3 0\r\n\r\n")
-	<-e.done
-	clock.Advance(time.Second) // and is heard long after
-	fmt.Fprint(c, "DONE 2 bb fine 3 0\r\n\r\n")
-	<-e.done
+	w := newWorld(t, asItIs)
+	defer w.stop()
+	c, _ := w.attach(w.ln, 0)
+	w.clock.Advance(time.Second)
+	asked := w.clock.Now()
+	w.AskGauges()
+	c.Reads("STAT g2\r\n")
+	w.clock.Advance(time.Second)
+	w.AskGauges() // which the engine does not read
+	c.Says("STATS g2 0 0 0 0\r\nDONE 1 aa fine 3 0\r\n\r\n")
+	w.wants("aa ")
+	w.clock.Advance(time.Second) // it is heard long after
+	c.Says("DONE 2 bb fine 3 0\r\n\r\n")
+	w.wants("bb ")
 	c.Close()
-	c, _ = accept(t, ln, 2)
-	fmt.Fprint(c, "STATS g1 0 0 0 0\r\n")
-	if since := <-e.attached; since != asked {
+	if _, since := w.attach(w.ln, 2); since != asked {
 		t.Errorf("since %v, want %v: when the last question was written that has its answer", since, asked)
 	}
 }
@@ -305,22 +260,8 @@
 
 // The link used to end with the process, which may take its time over that; its engine knew of nothing until then.
 func TestALinkEndsBeforeItsProcess(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	l := NewLink(ln.Addr().String(), testkit.NewClock().Now, new(counters.Set))
-	ended := make(chan struct{})
-	go func() {
-		l.Keep(ctx, &toldEvents{make(chan time.Duration, 4), make(chan string, 4)})
-		close(ended)
-	}()
-	_, r := accept(t, ln, 0)
-	cancel()
-	<-ended
-	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
-		t.Errorf("the engine reads %v", err)
-	}
+	w := newWorld(t, asItIs)
+	c := accept(t, w.ln, 0)
+	w.stop()
+	c.Ends()
 }
