Give up the claims on keys only when nothing can be run here any more

Cause, by reading what brought (daemon.close): it ended the link to the engine and the claims on keys side by side. A process that is out of time may still hold a connection that is not quiet; a save that came on it in that moment could be written to the engine while the successor, which takes over the claims, runs it as one that it does not know. The engine's link ends first now, and is waited for. The test has both ends recorded in their order; the mutant that swaps them is caught.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
@@ -113,20 +112,19 @@
 	parts   []Part
 	started func(*Replica)
 
-	signals  *Signals
-	set      *counters.Set
-	clk      *clock.System
-	engine   *engine.Link
-	process  *process // with the replica and the link to the other process
-	server   *front.Server
-	door     *operator.Door // nil without an address for it
-	past     link.Past
-	reporter *catalog.Reporter
-	failed   chan error     // of the listener
-	cancel   func()         // ends the links
-	links    sync.WaitGroup // to the engine and to the other process
-	reloads  *counters.Counter
-	turned   *counters.Counter // configurations that were turned down
+	signals              *Signals
+	set                  *counters.Set
+	clk                  *clock.System
+	engine               *engine.Link
+	process              *process // with the replica and the link to the other process
+	server               *front.Server
+	door                 *operator.Door // nil without an address for it
+	past                 link.Past
+	reporter             *catalog.Reporter
+	failed               chan error // of the listener
+	endEngine, endClaims func()     // end the link to the engine, and the one to the other process with the claims on keys
+	reloads              *counters.Counter
+	turned               *counters.Counter // configurations that were turned down
 }
 
 // Run serves until the notice to leave was carried out; the process ends then with exit code 0. started is told once
@@ -143,7 +141,6 @@
 	if err != nil {
 		return err
 	}
-	s.cancel = cancel
 	if err := s.begin(ctx); err != nil {
 		return err
 	}
@@ -213,9 +210,10 @@
 		go s.door.Sweep(ctx)
 		log.Printf("operators may call at %s", s.door.Addr())
 	}
-	s.links.Go(func() { s.engine.Keep(ctx, p) })
+	s.endEngine = keep(ctx, func(ctx context.Context) { s.engine.Keep(ctx, p) })
+	s.endClaims = func() {}
 	if p.peer != nil {
-		s.links.Go(func() { p.peer.Keep(ctx, s.past, neighbour{p}) })
+		s.endClaims = keep(ctx, func(ctx context.Context) { p.peer.Keep(ctx, s.past, neighbour{p}) })
 	}
 	if s.past != link.Follows {
 		p.take(lifecycle.Inherited)
@@ -287,17 +285,32 @@
 	for _, part := range slices.Backward(s.parts) {
 		part.Close()
 	}
-	s.close()
+	s.close(closeTime)
 	os.Exit(0)
 }
 
-// close ends what others wait for, as nothing is owed any more: the links and the claims on keys, the door. The end of a
-// process that has exited was seen to take the kernel 1.4 s, and the successor waited for it.
-func (s *service) close() {
-	s.cancel()
+// keep has f go on until the end that it returns is called, which waits for f.
+func keep(ctx context.Context, f func(context.Context)) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// close ends what others wait for, as nothing is owed any more. The end of a process that has exited was seen to take the
+// kernel 1.4 s, and its successor waited for it. The claims on keys are given up when nothing can be run here any more:
+// whoever takes them over runs what it does not know. What has not ended within most is left to the end of the process.
+func (s *service) close(most time.Duration) {
 	closed := make(chan struct{})
 	go func() {
-		s.links.Wait()
+		s.endEngine()
+		s.endClaims()
 		if s.door != nil {
 			s.door.Close()
 		}
@@ -305,7 +318,7 @@
 	}()
 	select {
 	case <-closed:
-	case <-time.After(closeTime):
+	case <-time.After(most):
 	}
 }
 
