Count a connection that is turned away before its peer can know

Both peers had their end; accept.go closed the second and counted it after. It counts first now: 60 plays of the test under the race detector.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -52,10 +52,10 @@
 	}
 	unix.Close(a.spare)
 	if conn, err = a.Listener.Accept(); err == nil && conn != nil {
+		a.turned.Inc() // before its peer can know
 		if err := conn.Close(); err != nil {
 			log.Print("turn a connection away: ", err)
 		}
-		a.turned.Inc()
 	}
 	a.save()
 	return nil, nil
