--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(dir string, trouble bool, rec *record) (broken int, err error){
+	"feed":   feed,
 	"forget": forget,
 }
 
