Review, case 3: keyed runs lost with the link and then given up stay for good

A keyed RUN that is lost with the link to the engine is given up when its answer is due. If its router sends forget before, that never happens: it keeps its place among the running requests and its open call. After some 24 of them the replica refuses everything, and its router's connection is closed with up to 32 requests unanswered.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(dir string, trouble bool, rec *record) (broken int, err error){
 	"feed":   feed,
 	"forget": forget,
+	"leak":   leak,
 }
 
 func main() {
