--- a/review/standin/forget.go
+++ b/review/standin/forget.go
@@ -10,7 +10,7 @@
 // connection. Each caller waits 1.15 s for a try and may try once more. What happens at one moment, the router writes in
 // one flush. With trouble, the engine is three times slower for 9.2 s in each round.
 func forget(dir string, trouble bool, rec *record) (broken int, err error) {
-	const patience, wave, most = 1150 * time.Millisecond, 28, 32
+	const patience, wave, most = 1150 * time.Millisecond, 30, 32
 	site, err := newSite(dir, rec, ammanSettings(), 30*time.Millisecond, 0)
 	if err != nil {
 		return 0, err
--- a/review/standin/leak.go
+++ b/review/standin/leak.go
@@ -6,12 +6,12 @@
 )
 
 // leak plays steady traffic of keyed classes whose callers wait half of the deadline for a try, then say forget and ask once
-// more. With trouble, the link to the engine breaks now and then for the first part, each time with the commands of the last
-// 45 ms. The second part has no trouble: the replica is judged by what it serves then.
+// more. With trouble, the link to the engine breaks now and then for two thirds of the day, each time with the commands of the
+// last 45 ms. The last third has no trouble: the replica is judged by what it serves then.
 func leak(dir string, trouble bool, rec *record) (broken int, err error) {
 	const (
-		troubled, settle, calm = 76 * time.Second, 6 * time.Second, 16 * time.Second
-		deadline, patience     = 6 * time.Second, 3 * time.Second
+		troubled, calm     = 66 * time.Second, 33 * time.Second
+		deadline, patience = 6 * time.Second, 3 * time.Second
 	)
 	settings := ammanSettings()
 	for _, l := range settings["lanes"].([]any) {
@@ -37,12 +37,12 @@
 		gaps := rand.New(rand.NewPCG(uint64(began.UnixNano()), 3))
 		go func() {
 			for time.Since(began) < troubled {
-				time.Sleep(time.Duration(1200+gaps.IntN(500)) * time.Millisecond)
+				time.Sleep(time.Duration(1000+gaps.IntN(400)) * time.Millisecond)
 				e.breakLink(45 * time.Millisecond)
 			}
 		}()
 	}
-	for time.Since(began) < troubled+settle+calm {
+	for time.Since(began) < troubled+calm {
 		time.Sleep(time.Duration(30+random.IntN(60)) * time.Millisecond)
 		if router.isClosed() {
 			if router, err = dialRouter(listen, "router 2 anew", rec, e); err != nil {
@@ -97,7 +97,7 @@
 		switch at := t.door.Sub(began); {
 		case at < troubled:
 			first[t.answer]++
-		case at >= troubled+settle:
+		case at >= troubled:
 			last[t.answer]++
 			asked++
 			if t.answer == "served" {
@@ -105,7 +105,7 @@
 			}
 		}
 	}
-	rec.say("tries in the first part: %v; in the last %v, without trouble: %v", first, calm, last)
+	rec.say("tries in the first two thirds: %v; in the last %v, without trouble: %v", first, calm, last)
 	if served*5 < asked {
 		rec.say("HANG: the replica runs next to nothing any more: %d served of %d without trouble", served, asked)
 		broken++
