Say in the log what an input over the limit on open calls held

The line does not tell whether calls that were given up were still counted as open, or messages that open no call were counted, or the router sent too many calls.

Change: the error names the calls that were open, the messages of the input, and how many of them are oneway. What is counted is as before.

--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -100,19 +100,25 @@
 	s.mu.Lock()
 	open := s.open
 	s.mu.Unlock()
+	before, oneway := open, 0
 	for {
 		payload, rest, err := thrift.Frame(buf)
 		if err != nil {
 			return err
 		}
 		if payload == nil {
-			return nil
+			break
 		}
-		if open++; open > maxOpen {
-			return fmt.Errorf("%w: more than %d open calls", thrift.ErrMalformed, maxOpen)
+		if thrift.NewReader(payload).Header().Type == thrift.Oneway {
+			oneway++
 		}
+		open++
 		buf = rest
 	}
+	if open > maxOpen {
+		return fmt.Errorf("%w: more than %d open calls: %d were open, and the input has %d messages, %d of them oneway", thrift.ErrMalformed, maxOpen, before, open-before, oneway)
+	}
+	return nil
 }
 
 // handleMessage handles one message. An error inside a call is answered on that call only.
