--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	// maxOutput bounds the unsent output of a connection. It is larger than the answers to all calls that may be open on it.
+	// maxOutput bounds the unsent output of a connection. It is larger than the answers to conns.MaxUnanswered calls.
 	maxOutput = 512 << 10
 	// minWriteTimeout is the lower bound of the write timeout, see SetMaxWait.
 	minWriteTimeout = time.Minute
@@ -54,6 +54,7 @@
 	garbageLog rate.Sometimes // limits the log lines about unreadable input, which a client can cause at full speed
 	count      struct {
 		accepted, rejected, closed, bytesIn, bytesOut *counters.Counter
+		callsOverLimit                                *counters.Counter
 		ended                                         [conns.Reasons]*counters.Counter
 	}
 	fence          *fence
@@ -122,7 +123,7 @@
 		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
 	}
 	s.count.accepted, s.count.rejected = set.Get("connections_accepted"), set.Get("connections_over_limit")
-	s.count.closed = set.Get("connections_closed")
+	s.count.closed, s.count.callsOverLimit = set.Get("connections_closed"), set.Get("calls_over_limit")
 	s.count.bytesIn, s.count.bytesOut = set.Get("bytes_in"), set.Get("bytes_out")
 	// With a single poller, code that runs in prepare, or after a fence has passed through the poller, knows that
 	// the poller holds no input (see conns.View).
@@ -172,7 +173,7 @@
 	c := &conn{transport: l}
 	c.entry.Owner = c
 	c.out = outbox.New(sink, maxOutput, &s.output, func(error) { s.requestClose(c, conns.Broken) })
-	c.session = &session{core: s.core, now: s.now, acceptedAt: s.now(), lastUsed: s.now(), send: func(encode func([]byte) []byte) {
+	c.session = &session{core: s.core, now: s.now, acceptedAt: s.now(), lastUsed: s.now(), overLimit: s.count.callsOverLimit, send: func(encode func([]byte) []byte) {
 		err := c.out.Put(func(dst []byte) []byte {
 			before := len(dst)
 			dst = encode(dst)
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -4,10 +4,12 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"strconv"
 	"time"
 
+	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
 	"cairnlane/internal/thrift"
 )
@@ -22,6 +24,13 @@
 	maxWaitLimit = float64(24 * time.Hour / time.Millisecond)
 )
 
+// The methods of the service Front.
+const (
+	serveMethod  = "serve"
+	forgetMethod = "forget"
+	checkMethod  = "isWell"
+)
+
 var errMalformedField = errors.New("malformed field")
 
 // decodeServe reads the arguments of serve and translates them to a replica.Request.
@@ -53,6 +62,58 @@
 	return q, err
 }
 
+// decodeForget reads the argument of forget: the sequence number of the call that the router has given up.
+func decodeForget(r *thrift.Reader) (seq int32, ok bool) {
+	for {
+		t, id := r.Field()
+		if t == thrift.Stop || r.Err() != nil {
+			return seq, ok && r.Err() == nil
+		}
+		if id == 1 && t == thrift.I32 {
+			seq, ok = r.I32(), true
+		} else {
+			r.Skip(t)
+		}
+	}
+}
+
+// countMessages returns the number of complete messages in the input, up to the first frame that cannot be read.
+func countMessages(buf []byte) (n int) {
+	for range messages(buf) {
+		n++
+	}
+	return n
+}
+
+// listCalls lists the requests that the input opens and the calls that it gives up. Other calls are answered at once.
+func listCalls(buf []byte) (in conns.Input) {
+	for payload := range messages(buf) {
+		r := thrift.NewReader(payload)
+		switch h := r.Header(); {
+		case h.Type == thrift.Call && h.Name == serveMethod:
+			in.Opened = append(in.Opened, h.Seq)
+		case h.Type == thrift.Oneway && h.Name == forgetMethod:
+			if seq, ok := decodeForget(r); ok {
+				in.GivenUp = append(in.GivenUp, seq)
+			}
+		}
+	}
+	return in
+}
+
+// messages yields the payloads of the complete messages in the input, up to the first frame that cannot be read.
+func messages(buf []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for {
+			payload, rest, err := thrift.Frame(buf)
+			if err != nil || payload == nil || !yield(payload) {
+				return
+			}
+			buf = rest
+		}
+	}
+}
+
 // newRequest translates the fields of a request.
 func newRequest(fields map[string]string) (replica.Request, error) {
 	p := fieldParser{fields: fields}
@@ -119,7 +180,7 @@
 func appendAnswer(dst []byte, seq int32, a replica.Answer) []byte {
 	fields := signalFields(a.Signal)
 	return thrift.AppendFrame(dst, func(dst []byte) []byte {
-		dst = thrift.AppendHeader(dst, thrift.Header{Type: thrift.Reply, Name: "serve", Seq: seq})
+		dst = thrift.AppendHeader(dst, thrift.Header{Type: thrift.Reply, Name: serveMethod, Seq: seq})
 		switch a.Kind {
 		case replica.Served:
 			dst = appendResult(dst, a.Body, fields, true)
@@ -142,7 +203,7 @@
 // appendCheck appends the reply to a health check.
 func appendCheck(dst []byte, seq int32, healthy bool, s replica.Signal) []byte {
 	return thrift.AppendFrame(dst, func(dst []byte) []byte {
-		dst = thrift.AppendHeader(dst, thrift.Header{Type: thrift.Reply, Name: "isWell", Seq: seq})
+		dst = thrift.AppendHeader(dst, thrift.Header{Type: thrift.Reply, Name: checkMethod, Seq: seq})
 		return thrift.AppendStop(appendResult(dst, nil, signalFields(s), healthy))
 	})
 }
