Answer a repeat at once when its caller has gone

Cause: Replica.CallerGone answered an attempt that had not started, but left a repeat that waits for another attempt until that one ended. The module had already removed it.

Change: such a repeat is answered as failed and removed at once. It is not rejected, because the attempt that it waited for may have run.

Measured: TestRepeatOfRunningAttemptEndsWhenItsCallerIsGone failed before ("answers [], want one of kind 2"), passes now; go test -race ./internal/replica ./policy: ok.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -466,9 +466,9 @@
 }
 
 // CallerGone handles the notice that the caller of an attempt has stopped waiting: it needs no answer any more, and
-// what has not started need not run. The module is informed. An attempt that neither runs nor waits for another one is
-// answered as rejected at once, since it never ran: the answer does no harm and the connection is not kept busy.
-// Keyed attempts are left as they are while the peer process may be asked for their key.
+// what has not started need not run. The module is informed. An attempt that does not run is answered at once: the answer
+// does no harm, and the attempt occupies neither memory nor its connection until somebody else's run ends. Keyed
+// attempts are left as they are while the peer process may be asked for their key.
 func (r *Replica) CallerGone(txn string) {
 	r.locked(func(now time.Duration) {
 		req := r.txns[txn]
@@ -477,15 +477,26 @@
 		}
 		r.count.callersGone.Inc()
 		r.callModule(func() { r.ctl.CallerGone(now, req.id) })
-		if !req.running && req.waitsOn == nil && !req.answered {
-			r.answer(req, Answer{Kind: Rejected})
-			r.remove(req)
-			if k := req.key; k != nil { // repeats that waited for it never ran either
-				r.releaseWaiting(k, Answer{Kind: Rejected}, policy.Failed)
-			}
+		if !req.running && !req.answered {
+			r.endWithoutRun(req)
 		}
 	})
 }
 
+// endWithoutRun answers an attempt that does not run and whose caller has gone. A repeat fails: the attempt that it waited
+// for may have run. Any other attempt is rejected, like the repeats that waited for it.
+func (r *Replica) endWithoutRun(req *request) {
+	if req.waitsOn != nil {
+		r.answer(req, Answer{Kind: Failed})
+		r.remove(req)
+		return
+	}
+	r.answer(req, Answer{Kind: Rejected})
+	r.remove(req)
+	if k := req.key; k != nil {
+		r.releaseWaiting(k, Answer{Kind: Rejected}, policy.Failed)
+	}
+}
+
 // CountMalformed counts a call that could not be accepted as a request.
 func (r *Replica) CountMalformed() { r.count.malformed.Inc() }
