Keep the place of a router connection until it is closed (known-red test of internal/front)

What was seen: TestRequestsWrittenBeforeCloseAreAnswered found five connections at a limit of four now and then.

Cause: the table forgot an evicted connection as soon as its close was decided (front.Server.victim, evictIfQuiet), but netpoll leaves the close to the goroutine that is still in the last steps of handling its input, so the descriptor stayed open while a newcomer took the place.

Evidence: a scratch copy printed the connections at the failure. 8 processes side by side, 30 runs each with -race: 7 failed, each with 4 connections in service and one with state Ended, close requested, not removed ("table 4 conns 5"); 100 ms later it was gone.

Change: conns.Table counts connections that are being closed until they are removed and offers them as no victim; a newcomer waits up to 10 ms for such a place and is turned away otherwise, before anything is read from it.

Measured: TestConnectionBeingClosedKeepsItsPlace failed before ("2 connections, the limit is 1"), passes now.

--- a/internal/decide/conns/table.go
+++ b/internal/decide/conns/table.go
@@ -49,16 +49,19 @@
 	kind       Kind
 	at         time.Duration // the time it is sorted by; may be older than its last use
 	listed     bool
+	closing    bool
 	Owner      any
 }
 
 // Table holds connections in eviction order: one list for each kind, least recently used first. The table is not
 // notified of each use, which would cost time on every request; it queries the usage when a connection is
-// considered for eviction, and moves a connection that was used since. It is not safe for concurrent use.
+// considered for eviction, and moves a connection that was used since. A connection that is being closed is in no list but counts
+// until it is removed, because it still holds its descriptor. It is not safe for concurrent use.
 type Table struct {
-	limits Limits
-	lists  [kinds]Conn // rings; the zero Conn is the head
-	n      [kinds]int
+	limits  Limits
+	lists   [kinds]Conn // rings; the zero Conn is the head
+	n       [kinds]int
+	closing int // connections that are being closed
 }
 
 // NewTable returns an empty table.
@@ -71,26 +74,46 @@
 }
 
 // Len returns the number of connections in the table.
-func (t *Table) Len() int { return t.n[Silent] + t.n[Checker] + t.n[Caller] + t.n[Writing] }
+func (t *Table) Len() int { return t.listed() + t.closing }
+
+// listed returns the number of connections that are not being closed.
+func (t *Table) listed() int { return t.n[Silent] + t.n[Checker] + t.n[Caller] + t.n[Writing] }
 
 // SetMax changes the maximum number of connections. It closes none; the caller must evict the excess that
 // Excess reports.
 func (t *Table) SetMax(size int) { t.limits.Max, t.limits.MaxSilent = size, size/silentDivisor }
 
-// Excess returns by how many connections the table exceeds its maximum.
-func (t *Table) Excess() int { return max(0, t.Len()-t.limits.Max) }
+// Excess returns by how many connections the table will exceed its maximum once those that are being closed are removed.
+func (t *Table) Excess() int { return max(0, t.listed()-t.limits.Max) }
 
 // Full reports whether a connection must be removed before another is added.
 func (t *Table) Full() bool { return t.Len() >= t.limits.Max }
 
+// NeedsVictim reports whether the table will be full even when the connections that are being closed are removed.
+func (t *Table) NeedsVictim() bool { return t.listed() >= t.limits.Max }
+
 // Count returns the number of connections in the list of kind k.
 func (t *Table) Count(k Kind) int { return t.n[k] }
 
 // Add inserts a new connection.
 func (t *Table) Add(c *Conn, now time.Duration) { t.insert(c, Use{Last: now}) }
 
+// StartClosing records that c is being closed. It has no effect if c is not in the table.
+func (t *Table) StartClosing(c *Conn) {
+	if !c.listed {
+		return
+	}
+	t.Remove(c)
+	c.closing = true
+	t.closing++
+}
+
 // Remove deletes c from the table. Removing a connection that is not in the table has no effect.
 func (t *Table) Remove(c *Conn) {
+	if c.closing {
+		c.closing = false
+		t.closing--
+	}
 	if !c.listed {
 		return
 	}
--- a/internal/decide/conns/table_test.go
+++ b/internal/decide/conns/table_test.go
@@ -17,7 +17,7 @@
 	testkit.RunStateMachine(t, func(*rapid.T) map[string]func(*rapid.T) {
 		limits := Limits{Max: 12, Protected: 250 * time.Millisecond, MaxSilent: 3}
 		table, uses, now := NewTable(limits), map[*Conn]Use{}, time.Hour
-		kinds := map[*Conn]Kind{}
+		kinds, closing := map[*Conn]Kind{}, map[*Conn]bool{}
 		var order []*Conn // by age, so that ties are broken in one way
 		drawConn := func(rt *rapid.T) *Conn {
 			if len(order) == 0 {
@@ -39,8 +39,14 @@
 				table.Remove(c)
 				table.Remove(c)
 				delete(uses, c)
+				delete(closing, c)
 				order = slices.DeleteFunc(order, func(o *Conn) bool { return o == c })
 			},
+			"close": func(rt *rapid.T) {
+				c := drawConn(rt)
+				table.StartClosing(c)
+				closing[c] = true
+			},
 			"use": func(rt *rapid.T) {
 				c := drawConn(rt)
 				kinds[c] = max(kinds[c], Kind(rapid.IntRange(0, 2).Draw(rt, "kind")))
@@ -60,7 +66,7 @@
 				evictionRank := func(c *Conn) int {
 					u := uses[c]
 					switch fresh := now-u.Last < limits.Protected; {
-					case u.Busy:
+					case u.Busy || closing[c]:
 						return -1
 					case u.Kind == Silent && (!fresh || silent > limits.MaxSilent):
 						return 0
@@ -92,6 +98,9 @@
 				if !slices.Equal(got, want) || table.Len() != len(order) {
 					rt.Fatalf("%d victims, want %d; %d connections, want %d", len(got), len(want), table.Len(), len(order))
 				}
+				if staying := len(order) - len(closing); table.Full() != (len(order) >= limits.Max) || table.NeedsVictim() != (staying >= limits.Max) {
+					rt.Fatalf("full %v, needs a victim %v; %d connections, %d of them being closed", table.Full(), table.NeedsVictim(), len(order), len(closing))
+				}
 			},
 		}
 	})
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -19,6 +19,8 @@
 	// fenceTimeout bounds the age of an observation when a connection is closed because of it. Routers repeat a request that
 	// crosses a close within 50 ms.
 	fenceTimeout = 20 * time.Millisecond
+	// removalTimeout bounds the wait for a connection that another goroutine is closing. The poller reads nothing meanwhile.
+	removalTimeout = 10 * time.Millisecond
 	// backlogTimeout bounds the wait for connections that the kernel has accepted but the server has not.
 	backlogTimeout = 50 * time.Millisecond
 )
@@ -101,6 +103,7 @@
 		c.closing = true
 		c.mu.Unlock()
 		if first {
+			s.startClosing(c)
 			s.count.ended[c.ending.Reason()].Inc() // the reason no longer changes
 			c.transport.Close()
 		}
@@ -115,29 +118,60 @@
 	}
 }
 
+// startClosing records in the table that a connection is being closed.
+func (s *Server) startClosing(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.StartClosing(&c.entry)
+}
+
 // makeRoom reports whether one more connection may be held. When the table is full, it closes the least used
 // connection, so that clients with unused connections cannot keep routers from connecting. When the poller calls it, no
 // fence is needed, as the poller holds no input then.
 func (s *Server) makeRoom(poller bool) bool {
 	for range maxVictims {
 		s.mu.Lock()
-		victim, room := s.victim(poller)
+		full, needsVictim := s.table.Full(), s.table.NeedsVictim()
+		victim, quiet := s.victim(poller)
 		s.mu.Unlock()
-		if victim == nil {
-			return room
-		}
-		if room {
-			s.apply(victim, conns.Close)
+		switch {
+		case !full:
 			return true
-		}
-		if !s.fence.wait(fenceTimeout) {
+		case !needsVictim:
+			return s.awaitRoom()
+		case victim == nil:
+			return false
+		case quiet:
+			s.apply(victim, conns.Close)
+		case !s.fence.wait(fenceTimeout):
 			return false
+		default:
+			s.evictIfQuiet(victim)
 		}
-		if s.evictIfQuiet(victim) {
-			return true
+	}
+	return s.hasRoom()
+}
+
+// hasRoom reports whether the table has room for one more connection.
+func (s *Server) hasRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.table.Full()
+}
+
+// awaitRoom waits until a connection that is being closed has been removed, and reports whether there is room. Until then it
+// holds its descriptor: a connection that a goroutine is still working on is closed by that goroutine.
+func (s *Server) awaitRoom() bool {
+	timer := time.NewTimer(removalTimeout)
+	defer timer.Stop()
+	for !s.hasRoom() {
+		select {
+		case <-s.removed:
+		case <-timer.C:
+			return s.hasRoom()
 		}
 	}
-	return false
+	return true
 }
 
 // SetMaxConnections changes the maximum number of connections, closes the least used ones above it and returns how many
@@ -157,12 +191,12 @@
 	s.mu.Unlock()
 	for range over {
 		s.mu.Lock()
-		victim, room := s.victim(false)
+		victim, quiet := s.victim(false)
 		s.mu.Unlock()
 		switch {
 		case victim == nil:
 			return
-		case room:
+		case quiet:
 			s.apply(victim, conns.Close)
 		case !s.fence.wait(fenceTimeout):
 			return
@@ -172,23 +206,18 @@
 	}
 }
 
-// evictIfQuiet closes a victim if it is still quiet, and reports whether it did.
-func (s *Server) evictIfQuiet(victim *conn) bool {
-	if victim.decide(conns.Evicted) != conns.Close {
-		return false
+// evictIfQuiet closes a victim if it is still quiet.
+func (s *Server) evictIfQuiet(victim *conn) {
+	if victim.decide(conns.Evicted) == conns.Close {
+		s.apply(victim, conns.Close)
 	}
-	s.mu.Lock()
-	s.table.Remove(&victim.entry)
-	s.mu.Unlock()
-	s.apply(victim, conns.Close)
-	return true
 }
 
-// victim returns the connection to evict for a new one, or nil if there is no need or none is quiet. If room is
+// victim returns the connection to evict for a new one, or nil if there is no need or none is quiet. If quiet is
 // false, the victim must be examined once more after a fence. s.mu is held.
-func (s *Server) victim(poller bool) (victim *conn, room bool) {
-	if !s.table.Full() {
-		return nil, true
+func (s *Server) victim(poller bool) (victim *conn, quiet bool) {
+	if !s.table.NeedsVictim() {
+		return nil, false
 	}
 	checked := 0
 	for f := range s.table.Victims(s.now(), func(f *conns.Conn) conns.Use { return f.Owner.(*conn).use() }) {
@@ -198,7 +227,7 @@
 				return c, false
 			}
 		} else if c.decide(conns.Evicted) == conns.Close {
-			s.table.Remove(f)
+			s.table.StartClosing(f)
 			return c, true
 		}
 		if checked++; checked == maxVictims {
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -386,6 +386,47 @@
 	}
 }
 
+// delayedClose is a transport whose Close takes effect only when the test lets it.
+type delayedClose struct {
+	polledTransport
+	begun chan struct{}
+}
+
+func (d delayedClose) Close() error {
+	close(d.begun)
+	return nil
+}
+
+// TestConnectionBeingClosedKeepsItsPlace guards against more connections than the limit: an evicted connection that another
+// goroutine had still to close no longer counted, although it held its descriptor.
+func TestConnectionBeingClosedKeepsItsPlace(t *testing.T) {
+	st := newControlledServer(t, 1)
+	st.dialUsed(t)
+	st.clock.Advance(time.Second)
+	st.mu.Lock()
+	var victim *conn
+	for victim = range st.conns {
+	}
+	st.mu.Unlock()
+	delayed := delayedClose{victim.transport.(polledTransport), make(chan struct{})}
+	victim.mu.Lock()
+	victim.transport = delayed
+	victim.mu.Unlock()
+	if early := st.dial(t); !connectionEnded(early) {
+		t.Error("a connection is accepted before the evicted one is closed")
+	}
+	<-delayed.begun
+	if n := st.Connections(); n > 1 {
+		t.Errorf("%d connections, the limit is 1", n)
+	}
+	delayed.polledTransport.Close()
+	late := st.dial(t)
+	late.Write(callMessage("isWell", 1, nil, ""))
+	if _, ok := receive(t, late); !ok {
+		t.Error("no connection is accepted after the evicted one is closed")
+	}
+}
+
 // testPeer is the router's side of one connection in the random steps.
 type testPeer struct {
 	net.Conn
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -59,6 +59,7 @@
 	}
 	fence          *fence
 	sweepNow       chan struct{} // requests a sweep before the next tick
+	removed        chan struct{} // signals that a connection was removed
 	backlogTimeout time.Duration // the longest wait for connections that the kernel has accepted
 
 	output outbox.SharedLimit // the unsent output of all connections
@@ -117,7 +118,7 @@
 		return nil, fmt.Errorf("listen for routers: receive buffer: %w", err)
 	}
 	s := &Server{core: core, now: now, maxConns: maxConns, ln: ln, conns: map[*conn]struct{}{},
-		table: conns.NewTable(conns.DefaultLimits(maxConns)), sweepNow: make(chan struct{}, 1), backlogTimeout: backlogTimeout, garbageLog: rate.Sometimes{First: 3, Interval: time.Second}}
+		table: conns.NewTable(conns.DefaultLimits(maxConns)), sweepNow: make(chan struct{}, 1), removed: make(chan struct{}, 1), backlogTimeout: backlogTimeout, garbageLog: rate.Sometimes{First: 3, Interval: time.Second}}
 	s.SetMaxWait(0)
 	for r := range s.count.ended {
 		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
@@ -198,6 +199,10 @@
 	delete(s.conns, c)
 	s.table.Remove(&c.entry)
 	s.mu.Unlock()
+	select {
+	case s.removed <- struct{}{}:
+	default:
+	}
 	s.count.closed.Inc()
 	c.markClosed()
 	c.out.Close()
