--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// holdInDoubt waits for the end of a run that may be lost, until its answer is due.
+func (r *Replica) holdInDoubt(now time.Duration, req *request) {
+	req.inDoubt = true
+	r.count.inDoubt.Inc()
+	due := req.arrivedAt + r.callerWait(req)
+	r.clock.AfterFunc(max(due-now, 0), func() {
+		r.locked(func(now time.Duration) { r.abandonInDoubt(now, req) })
+	})
+}
+
 // abandonInDoubt ends an in-doubt run that was not reported by the time its answer was due. If its end is reported
 // later, it is counted as unmatched.
 func (r *Replica) abandonInDoubt(now time.Duration, req *request) {
@@ -260,9 +270,9 @@
 // Attached handles the notice that a link is up; open makes it accept runs. A run that was written at since or
 // later, and whose end is not among the notices that were missed, may not have reached the engine, may still be
 // running, or may be reported at any moment. Runs of safe classes are sent again. Others are waited for until
-// their answer is due, because a second RUN could execute them twice.
+// their answer is due, because a second RUN could execute them twice; that holds also if nobody waits for the answer.
 func (r *Replica) Attached(since time.Duration, open func()) {
-	r.locked(func(time.Duration) {
+	r.locked(func(now time.Duration) {
 		open()
 		ids := slices.Sorted(maps.Keys(r.live))
 		for _, id := range ids {
@@ -273,8 +283,7 @@
 			if lost := req.sent && !req.pending && !req.inDoubt && req.sentAt >= since; lost && req.class.Semantics == policy.Safe {
 				req.pending = true
 			} else if lost {
-				req.inDoubt = true
-				r.count.inDoubt.Inc()
+				r.holdInDoubt(now, req)
 			}
 			switch {
 			case req.pending:
