End runs in doubt by one timer instead of three paths

The timer covers the other two, except that the test wants a run whose due time has passed ended with the new link at once.

Change: holdInDoubt ends it at once if it is due, else by the timer; the cases in Fail and Attached are gone. The slot of a run in doubt is free one tick (5 ms) later than before. The mutant "run in doubt never ends" follows the code.

--- a/internal/lab/mutants/concurrency.go
+++ b/internal/lab/mutants/concurrency.go
@@ -4,7 +4,7 @@
 var Concurrency = []Mutant{
 	{"keyed run in doubt resent", "internal/replica/policy_host.go", "lost && req.class.Semantics == policy.Safe {", "lost {", "./internal/replica", "TestOnlySafeRunsAreResentAfterLinkLoss"},
 	{"keyed run in doubt resent, random steps", "internal/replica/policy_host.go", "lost && req.class.Semantics == policy.Safe {", "lost {", "./internal/replica", "TestInvariantsHoldOverRandomSteps"},
-	{"run in doubt never ends", "internal/replica/policy_host.go", "	case req.inDoubt: // no request", "	case false: // no request", "./internal/replica", "TestOnlySafeRunsAreResentAfterLinkLoss"},
+	{"run in doubt never ends", "internal/replica/policy_host.go", "r.clock.AfterFunc(wait, func()", "r.clock.AfterFunc(wait+time.Hour, func()", "./internal/replica", "TestOnlySafeRunsAreResentAfterLinkLoss"},
 	{"unwritten run counted as sent", "internal/replica/policy_host.go", "				req.pending = true\n			} else if lost", "				r.sendRun(req)\n			} else if lost", "./internal/replica", "TestUnwrittenRunIsSentOnNextLink"},
 	{"any message of the engine confirms writes", "internal/engine/session.go", "max(s.memory.confirmedAt, written)", "max(written, s.now())", "./internal/engine", "TestAnsweredStatConfirmsEarlierWrites"},
 	{"move without a final STAT", "internal/engine/link.go", "	c.sess.sendStat()\n", "", "./internal/engine", "TestMoveNeitherLosesNorDuplicatesRuns"},
--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -107,11 +107,8 @@
 		return
 	}
 	r.answer(req, Answer{Kind: Failed})
-	switch {
-	case !req.running: // it waited for another attempt; the module has already removed it
+	if !req.running { // it waited for another attempt; the module has already removed it
 		r.remove(req)
-	case req.inDoubt: // no request waits for its outcome any more
-		r.deferCall(func(now time.Duration) { r.abandonInDoubt(now, req) })
 	}
 }
 
@@ -119,10 +116,13 @@
 func (r *Replica) holdInDoubt(now time.Duration, req *request) {
 	req.inDoubt = true
 	r.count.inDoubt.Inc()
-	due := req.arrivedAt + r.callerWait(req)
-	r.clock.AfterFunc(max(due-now, 0), func() {
-		r.locked(func(now time.Duration) { r.abandonInDoubt(now, req) })
-	})
+	abandon := func(now time.Duration) { r.abandonInDoubt(now, req) }
+	wait := req.arrivedAt + r.callerWait(req) - now
+	if wait <= 0 {
+		r.deferCall(abandon)
+		return
+	}
+	r.clock.AfterFunc(wait, func() { r.locked(abandon) })
 }
 
 // abandonInDoubt ends an in-doubt run that was not reported by the time its answer was due. If its end is reported
@@ -285,11 +285,8 @@
 			} else if lost {
 				r.holdInDoubt(now, req)
 			}
-			switch {
-			case req.pending:
+			if req.pending {
 				r.sendRun(req)
-			case req.inDoubt && req.answered:
-				r.deferCall(func(now time.Duration) { r.abandonInDoubt(now, req) })
 			}
 			r.resendCallOutcome(req, since)
 		}
