--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -287,7 +287,7 @@
 		}
 		return nil
 	case "trial mutants":
-		all := slices.Concat(mutants.Leases, mutants.Audits, mutants.Overloads, mutants.Concurrency, mutants.Admission)
+		all := slices.Concat(mutants.Leases, mutants.Audits, mutants.Overloads, mutants.Concurrency, mutants.Admission, mutants.Incidents)
 		all = slices.DeleteFunc(all, func(m mutants.Mutant) bool {
 			return !strings.Contains(m.Name+" "+m.File+" "+m.Test, o.Trial.Mutants.Only)
 		})
--- a/internal/replica/calls_test.go
+++ b/internal/replica/calls_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -163,3 +164,46 @@
 		t.Error(strings.Join(b.violations, "; "))
 	}
 }
+
+// TestReplyThatMayBeReadIsNotSentAgain guards against a reply that reaches the wrong call: FEED names no call, so one that is written
+// again on a new link answers the run's next call if the engine has read the first one (review/2).
+func TestReplyThatMayBeReadIsNotSentAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotencyKey string        // the class of keyed attempts cannot skip calls
+		confirmed      time.Duration // how long after the FEED the engine is known to have read everything
+		want           []string      // written on the new link
+	}{
+		"the call can be skipped":    {"", -ms, []string{"SKIP %s 4"}},
+		"the call cannot be skipped": {"k", -ms, nil},
+		"the engine has read it":     {"", ms, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := newIndexHarness(t)
+			x := b.arrive(c.idempotencyKey, 0, 3*time.Second)
+			b.CallRequested(x.txn, 4, []byte("q"))
+			b.CallEnded(x.txn, policy.Succeeded, 5*ms, []byte("r"))
+			wantList(t, "written on the first link", b.callCommands, "FEED "+x.txn+" r")
+			fedAt := b.clock.Now()
+			b.linkUp, b.callCommands = false, nil
+			b.clock.Advance(2 * ms)
+			b.Attached(fedAt+c.confirmed, func() { b.linkUp = true })
+			var want []string
+			for _, command := range c.want {
+				want = append(want, fmt.Sprintf(command, x.txn))
+			}
+			wantList(t, "written on the new link", b.callCommands, want...)
+		})
+	}
+}
+
+// TestWaitingCallIsNotAnsweredByNewLink guards against an invented reply: a run that waits for a call that is not made yet has
+// nothing to be sent again.
+func TestWaitingCallIsNotAnsweredByNewLink(t *testing.T) {
+	b, _ := newIndexHarness(t)
+	x := b.arrive("", 0, 3*time.Second)
+	b.CallRequested(x.txn, 4, []byte("q"))
+	b.CallEnded(x.txn, policy.Failed, 5*ms, nil) // the module calls again later
+	b.linkUp = false
+	b.attach()
+	wantList(t, "written on the new link", b.callCommands)
+}
--- a/internal/replica/index_calls.go
+++ b/internal/replica/index_calls.go
@@ -16,6 +16,7 @@
 	unsent      bool   // FEED or SKIP is to be written to the engine once there is a link
 	skip        bool   // the command to write is SKIP; otherwise FEED with reply
 	reply       []byte // the index's reply, unchanged
+	written     bool   // the command was written to a link
 	writtenAt   time.Duration
 }
 
@@ -81,13 +82,24 @@
 	} else {
 		sent = r.engine.Feed(req.Txn, c.reply)
 	}
-	c.unsent, c.writtenAt = !sent, r.clock.Now()
+	c.unsent, c.written, c.writtenAt = !sent, sent, r.clock.Now()
 }
 
-// resendCallOutcome writes the FEED or SKIP of a run on a new link if it was not written or may have been lost
-// with the previous link. The engine rejects such a command for a run that no longer waits, without any effect.
-func (r *Replica) resendCallOutcome(req *request, since time.Duration) {
-	if c := &req.call; c.unsent || (c.notice > 0 && !c.outstanding && c.writtenAt >= since) {
+// resumeCall continues a call whose FEED or SKIP was not written, or may have been lost with the previous link. SKIP names
+// the call that it ends, so it can be written again. FEED does not: if the engine has read the first one, the run may
+// wait for its next call by now and would take the reply for that call's. So the run continues without the call, if
+// its class allows that. Otherwise nothing is written: either the run goes on, or it fails when its answer is due.
+func (r *Replica) resumeCall(req *request, since time.Duration) {
+	c := &req.call
+	mayBeLost := c.written && !c.outstanding && c.writtenAt >= since
+	switch {
+	case c.unsent, mayBeLost && c.skip:
 		r.sendCallOutcome(req)
+	case mayBeLost:
+		r.count.callsInDoubt.Inc()
+		if req.class.SkipWorth > 0 {
+			c.skip = true
+			r.sendCallOutcome(req)
+		}
 	}
 }
--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -288,7 +288,7 @@
 			if req.pending {
 				r.sendRun(req)
 			}
-			r.resendCallOutcome(req, since)
+			r.resumeCall(req, since)
 		}
 	})
 }
