Give the counters of replica and front a file each, one field a line

Need: the counters stood in one line of sixteen fields and were set in three statements; a reader could not tell what each of them counts.

Change: counts.go in both packages, with a comment for each field. Names of the counters are as before.

Measured: go test -race ./internal/front ./internal/replica ./internal/daemon: ok.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -46,17 +46,13 @@
 
 // Server accepts router connections.
 type Server struct {
-	core       Core
-	now        func() time.Duration
-	maxConns   int
-	ln         netpoll.Listener
-	loop       netpoll.EventLoop
-	garbageLog rate.Sometimes // limits the log lines about unreadable input, which a client can cause at full speed
-	count      struct {
-		accepted, rejected, closed, bytesIn, bytesOut *counters.Counter
-		callsOverLimit                                *counters.Counter
-		ended                                         [conns.Reasons]*counters.Counter
-	}
+	core           Core
+	now            func() time.Duration
+	maxConns       int
+	ln             netpoll.Listener
+	loop           netpoll.EventLoop
+	garbageLog     rate.Sometimes // limits the log lines about unreadable input, which a client can cause at full speed
+	count          serverCounts
 	fence          *fence
 	sweepNow       chan struct{} // requests a sweep before the next tick
 	removed        chan struct{} // signals that a connection was removed
@@ -117,15 +113,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for routers: receive buffer: %w", err)
 	}
-	s := &Server{core: core, now: now, maxConns: maxConns, ln: ln, conns: map[*conn]struct{}{},
+	s := &Server{core: core, now: now, maxConns: maxConns, ln: ln, count: newServerCounts(set), conns: map[*conn]struct{}{},
 		table: conns.NewTable(conns.DefaultLimits(maxConns)), sweepNow: make(chan struct{}, 1), removed: make(chan struct{}, 1), backlogTimeout: backlogTimeout, garbageLog: rate.Sometimes{First: 3, Interval: time.Second}}
 	s.SetMaxWait(0)
-	for r := range s.count.ended {
-		s.count.ended[r] = set.Get("connections_ended_" + conns.Reason(r).String())
-	}
-	s.count.accepted, s.count.rejected = set.Get("connections_accepted"), set.Get("connections_over_limit")
-	s.count.closed, s.count.callsOverLimit = set.Get("connections_closed"), set.Get("calls_over_limit")
-	s.count.bytesIn, s.count.bytesOut = set.Get("bytes_in"), set.Get("bytes_out")
 	// With a single poller, code that runs in prepare, or after a fence has passed through the poller, knows that
 	// the poller holds no input (see conns.View).
 	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -178,25 +178,11 @@
 	compliance     shed.CallerCompliance
 }
 
-type counts struct {
-	overBudget, overShare, lowClass                                                                                                                                     *counters.Counter // rejections that follow the fleet's advice
-	read, retries, served, rejectedAnswers, failed, reused, withLater, withGiveUp, runs, resent, inDoubt, done, doneUnserved, noticesUnmatched, rejectedRuns, malformed *counters.Counter
-	calls, callsUnmatched, callsInDoubt, callersGone                                                                                                                    *counters.Counter
-}
-
 // New returns a replica. The module may act at once, so the engine must be ready to take calls.
 func New(cfg Config, clock Clock, engine Engine, set *counters.Set) (*Replica, error) {
-	r := &Replica{cfg: cfg, clock: clock, engine: engine, classes: map[string]int{}, tenants: map[string]int{},
+	r := &Replica{cfg: cfg, clock: clock, engine: engine, count: newCounts(set), classes: map[string]int{}, tenants: map[string]int{},
 		live: map[policy.RequestID]*request{}, txns: map[string]*request{},
 		keys: keyTable{byName: map[string]*key{}, byHolder: map[policy.RequestID]*key{}, maxResultBytes: cfg.MaxResultBytes}}
-	r.count = counts{read: set.Get("requests_read"), retries: set.Get("requests_marked_retry"),
-		served: set.Get("answers_served"), rejectedAnswers: set.Get("answers_refused"), failed: set.Get("answers_failed"),
-		reused: set.Get("answers_reused"), withLater: set.Get("answers_with_later"), withGiveUp: set.Get("answers_with_giveup"),
-		runs: set.Get("runs_decided"), resent: set.Get("runs_sent_again"), inDoubt: set.Get("runs_in_doubt"), done: set.Get("runs_done"),
-		doneUnserved: set.Get("runs_done_unserved"), noticesUnmatched: set.Get("notices_unmatched"), rejectedRuns: set.Get("runs_rejected"), malformed: set.Get("requests_malformed")}
-	r.count.calls, r.count.callsUnmatched, r.count.callersGone = set.Get("calls_made"), set.Get("calls_unmatched"), set.Get("callers_gone")
-	r.count.callsInDoubt = set.Get("calls_in_doubt")
-	r.count.overBudget, r.count.overShare, r.count.lowClass = set.Get("refused_beyond_tries"), set.Get("refused_over_share"), set.Get("refused_low_class")
 	r.peerState = newPeerState(cfg.Replaceable)
 	for i := range cfg.Policy.Classes {
 		r.classes[cfg.Policy.Classes[i].Name] = i
