Count no call whose router has stopped waiting by its limit

What a router writes while the process stands still, up to 32 calls at a time, is read at once.

Change: conns.Calls knows until when each call is awaited; calls past it do not count towards the limit of 64, so the module decides on the newest ones.

--- a/internal/decide/conns/calls.go
+++ b/internal/decide/conns/calls.go
@@ -1,5 +1,7 @@
 package conns
 
+import "time"
+
 // MaxAwaited is the limit on the calls of one connection that its peer waits for. A router waits for 32 at most; twice as many
 // are accepted because the message that gives a call up may arrive after the calls that take its place.
 const MaxAwaited = 64
@@ -8,27 +10,35 @@
 // occupy memory until they end.
 const MaxUnanswered = 96
 
+// Call is one call, as its peer sent it.
+type Call struct {
+	Seq   int32         // its sequence number
+	ID    string        // of its attempt; empty if it is no request
+	Until time.Duration // how long the peer waits for the answer, as a time of day; 0 if it does not say
+}
+
+// endedAt reports whether the peer has stopped waiting by itself.
+func (c Call) endedAt(now time.Duration) bool { return c.Until != 0 && now >= c.Until }
+
 // Calls holds the unanswered calls of one connection. A call ends when it is answered. A call that the peer has given
-// up stays until then, but the peer no longer waits for it. The zero value holds no calls. It is not safe for concurrent
-// use.
+// up, or that it waits for no longer, stays until then. The zero value holds no calls. It is not safe for concurrent use.
 type Calls struct {
 	unanswered map[int32]openCall // by sequence number
-	awaited    int
+	givenUp    int
 }
 
 // openCall is one unanswered call.
 type openCall struct {
-	id      string // of the attempt; empty for a call without one
+	Call
 	givenUp bool
 }
 
-// Open adds the call with this sequence number, which is not open yet. id is the id of its attempt, or empty.
-func (c *Calls) Open(seq int32, id string) {
+// Open adds a call whose sequence number is not open yet.
+func (c *Calls) Open(call Call) {
 	if c.unanswered == nil {
 		c.unanswered = map[int32]openCall{}
 	}
-	c.unanswered[seq] = openCall{id: id}
-	c.awaited++
+	c.unanswered[call.Seq] = openCall{Call: call}
 }
 
 // GiveUp records that the peer no longer waits for a call. It returns the id of the call's attempt, and false if the call
@@ -38,9 +48,9 @@
 	if !open || call.givenUp {
 		return "", false
 	}
-	c.unanswered[seq] = openCall{id: call.id, givenUp: true}
-	c.awaited--
-	return call.id, true
+	c.unanswered[seq] = openCall{Call: call.Call, givenUp: true}
+	c.givenUp++
+	return call.ID, true
 }
 
 // Answered removes a call that was answered.
@@ -50,23 +60,23 @@
 		return
 	}
 	delete(c.unanswered, seq)
-	if !call.givenUp {
-		c.awaited--
+	if call.givenUp {
+		c.givenUp--
 	}
 }
 
 // Unanswered returns the number of calls without an answer.
 func (c *Calls) Unanswered() int { return len(c.unanswered) }
 
-// Awaited returns the number of calls without an answer that the peer waits for.
-func (c *Calls) Awaited() int { return c.awaited }
+// NotGivenUp returns the number of calls without an answer that the peer has not given up.
+func (c *Calls) NotGivenUp() int { return len(c.unanswered) - c.givenUp }
 
 // Full reports whether no further call may be accepted before another one is answered.
 func (c *Calls) Full() bool { return len(c.unanswered) >= MaxUnanswered }
 
 // Input lists what one piece of input does to the calls of a connection.
 type Input struct {
-	Opened  []int32 // sequence numbers of the calls that it opens
+	Opened  []Call  // calls that it opens
 	GivenUp []int32 // sequence numbers of the calls that it gives up, whether it opens them or they are open already
 }
 
@@ -79,23 +89,22 @@
 // Rejects reports whether the call with this sequence number is rejected.
 func (r InputRejection) Rejects(seq int32) bool { return r.all || r.givenUp[seq] }
 
-// Check decides which calls of an input are accepted. Calls that the same input gives up are not: their peer would not
-// wait for the answer. If the peer would wait for more than MaxAwaited calls once the input is processed, none of its
-// calls is accepted, because they would fill the queue.
-func (c *Calls) Check(in Input) InputRejection {
-	rejection := InputRejection{givenUp: map[int32]bool{}}
-	awaited := c.awaited
+// Check decides at time now which calls of an input are accepted. Calls that the same input gives up are not: their peer
+// would not wait for the answer. If the peer would wait for more than MaxAwaited calls once the input is processed, none of
+// its calls is accepted, because they would fill the queue.
+func (c *Calls) Check(now time.Duration, in Input) InputRejection {
+	rejection := InputRejection{givenUp: make(map[int32]bool, len(in.GivenUp))}
 	for _, seq := range in.GivenUp {
-		if rejection.givenUp[seq] {
-			continue
-		}
 		rejection.givenUp[seq] = true
-		if call, open := c.unanswered[seq]; open && !call.givenUp {
-			awaited--
+	}
+	awaited := 0
+	for seq, call := range c.unanswered {
+		if !call.givenUp && !rejection.givenUp[seq] && !call.endedAt(now) {
+			awaited++
 		}
 	}
-	for _, seq := range in.Opened {
-		if !rejection.givenUp[seq] {
+	for _, call := range in.Opened {
+		if !rejection.givenUp[call.Seq] && !call.endedAt(now) {
 			awaited++
 		}
 	}
--- a/internal/front/calls_test.go
+++ b/internal/front/calls_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
+	"time"
 
 	"cairnlane/internal/decide/conns"
 	"cairnlane/internal/replica"
@@ -78,6 +80,25 @@
 	}
 }
 
+// TestCallsWhoseWaitIsOverDoNotCountAsAwaited guards against lost requests at sites without forgets: what a router had sent during a
+// standstill of the process was read at once, and its connection was closed over calls that it no longer waited for.
+func TestCallsWhoseWaitIsOverDoNotCountAsAwaited(t *testing.T) {
+	r := newTestRouter()
+	sentAt := [][2]string{{"door", strconv.FormatInt(r.clock.Now().Milliseconds(), 10)}, {"limit", "400"}}
+	if err := r.feed(calls(1, routerCalls, sentAt...)); err != nil {
+		t.Fatal(err)
+	}
+	r.clock.Advance(time.Second)
+	input := calls(routerCalls+1, routerCalls, sentAt...)
+	sentAt[0][1] = strconv.FormatInt(r.clock.Now().Milliseconds(), 10)
+	if err := r.feed(append(input, calls(2*routerCalls+1, routerCalls, sentAt...)...)); err != nil {
+		t.Fatalf("the connection ends: %v", err)
+	}
+	if got := len(r.recorder.requests); got != 3*routerCalls || r.overLimit.Load() != 0 {
+		t.Errorf("%d requests reach the core, want %d; %d are over the limit", got, 3*routerCalls, r.overLimit.Load())
+	}
+}
+
 // TestCallsOverLimitAreRejected guards against lost requests and a flooded queue: input that would make a router wait for more
 // calls than the limit reaches the core with none of them, each gets its own answer, and the connection stays in service.
 func TestCallsOverLimitAreRejected(t *testing.T) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -95,10 +95,10 @@
 func (s *session) checkCalls(buf []byte) conns.InputRejection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.calls.Awaited()+countMessages(buf) <= conns.MaxAwaited {
+	if s.calls.NotGivenUp()+countMessages(buf) <= conns.MaxAwaited {
 		return conns.InputRejection{}
 	}
-	return s.calls.Check(listCalls(buf))
+	return s.calls.Check(s.now(), listCalls(buf))
 }
 
 // handleMessage handles one message. An error inside a call is answered on that call only.
@@ -127,9 +127,9 @@
 	case checkMethod:
 		s.raiseKind(conns.Checker)
 		healthy, signal := s.core.Healthy(), s.core.CurrentSignal()
-		s.openCall(h.Seq, "").reply(func(dst []byte) []byte { return appendCheck(dst, h.Seq, healthy, signal) })
+		s.openCall(conns.Call{Seq: h.Seq}).reply(func(dst []byte) []byte { return appendCheck(dst, h.Seq, healthy, signal) })
 	default:
-		s.openCall(h.Seq, "").reply(func(dst []byte) []byte {
+		s.openCall(conns.Call{Seq: h.Seq}).reply(func(dst []byte) []byte {
 			return appendApplicationException(dst, h, thrift.UnknownMethod, fmt.Sprintf("unknown method %.40q", h.Name))
 		})
 	}
@@ -141,7 +141,7 @@
 func (s *session) handleServe(r *thrift.Reader, h thrift.Header, rejection conns.InputRejection) {
 	q, err := decodeServe(r)
 	full := s.callsFull()
-	c := s.openCall(h.Seq, q.Txn) // before Arrive, which may answer at once
+	c := s.openCall(requestCall(h.Seq, &q)) // before Arrive, which may answer at once
 	switch {
 	case err != nil:
 	case full || rejection.Rejects(h.Seq):
@@ -186,12 +186,12 @@
 	}
 }
 
-// openCall adds an unanswered call. txn is empty if it is not a request.
-func (s *session) openCall(seq int32, txn string) *call {
+// openCall adds an unanswered call.
+func (s *session) openCall(c conns.Call) *call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls.Open(seq, txn)
-	return &call{session: s, seq: seq}
+	s.calls.Open(c)
+	return &call{session: s, seq: c.Seq}
 }
 
 // callsFull reports whether the connection has as many unanswered calls as it may have.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -336,8 +336,8 @@
 				case idle >= 3*time.Second:
 					due = conns.Idle
 				}
-				if got := r.calls.Awaited(); got != len(open)-len(givenUp) {
-					rt.Fatalf("%d calls are awaited, want %d", got, len(open)-len(givenUp))
+				if got := r.calls.NotGivenUp(); got != len(open)-len(givenUp) {
+					rt.Fatalf("%d calls are not given up, want %d", got, len(open)-len(givenUp))
 				}
 				if got, why := r.use(), r.due(3*time.Second); got != want || why != due || r.calls.Unanswered() != len(open) {
 					rt.Fatalf("use %+v, want %+v; due as %v, want %v; %d calls open, want %d", got, want, why, due, r.calls.Unanswered(), len(open))
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -91,7 +91,9 @@
 		r := thrift.NewReader(payload)
 		switch h := r.Header(); {
 		case h.Type == thrift.Call && h.Name == serveMethod:
-			in.Opened = append(in.Opened, h.Seq)
+			if q, err := decodeServe(r); err == nil {
+				in.Opened = append(in.Opened, requestCall(h.Seq, &q))
+			}
 		case h.Type == thrift.Oneway && h.Name == forgetMethod:
 			if seq, ok := decodeForget(r); ok {
 				in.GivenUp = append(in.GivenUp, seq)
@@ -101,6 +103,15 @@
 	return in
 }
 
+// requestCall returns the call of a request.
+func requestCall(seq int32, q *replica.Request) conns.Call {
+	c := conns.Call{Seq: seq, ID: q.Txn}
+	if !q.WaitLimitUnknown {
+		c.Until = time.Duration(q.ArrivedAt.UnixNano()) + q.WaitLimit
+	}
+	return c
+}
+
 // messages yields the payloads of the complete messages in the input, up to the first frame that cannot be read.
 func messages(buf []byte) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
