Take the list of open connections in one place

Change: Server.openConnections, by the standard library's functions on maps and slices.

Measured: go test -race ./internal/front: ok.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -272,17 +274,13 @@
 func (s *Server) sweep(exiting bool) {
 	s.mu.Lock()
 	closeIdle := s.idleTimeout
-	all := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
-	}
 	s.mu.Unlock()
 	type closeRequest struct {
 		c      *conn
 		reason conns.Reason
 	}
 	var due []closeRequest
-	for _, c := range all {
+	for _, c := range s.openConnections() {
 		reason := c.due(closeIdle)
 		switch {
 		case reason == conns.None && exiting:
@@ -338,17 +336,18 @@
 
 // sendGoaways sends goaway on all connections.
 func (s *Server) sendGoaways() {
-	s.mu.Lock()
-	all := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range s.openConnections() {
 		c.sendGoaway()
 	}
 }
 
+// openConnections returns the connections that are open now.
+func (s *Server) openConnections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // backlog reports whether a connection waits to be accepted.
 func (s *Server) backlog() bool {
 	fds := []unix.PollFd{{Fd: int32(s.ln.Fd()), Events: unix.POLLIN}}
