Name fields of the hand-over message and of the answer by their terms

Change: DoNotRetry (as in policy.Advice), Ended and Number. The bytes on the link are as before: the codec writes the same fields and flags in the same order. OK stays, since it has two meanings by the kind of the message.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -119,7 +119,7 @@
 		n.handleEvent(lifecycle.Successor)
 		n.peer.Send(&handover.Message{Kind: handover.ReadyAck})
 	case handover.Share:
-		n.split.setShare(int(m.N))
+		n.split.setShare(int(m.Number))
 	case handover.ReadyAck:
 		n.handleEvent(lifecycle.Acknowledged)
 	case handover.Drain:
--- a/internal/daemon/split.go
+++ b/internal/daemon/split.go
@@ -90,7 +90,7 @@
 // sendShare sends the successor's number of connections if it has grown.
 func (s *split) sendShare(send func(*handover.Message)) {
 	if n, changed := s.plan.GrantShare(s.server.SetMaxConnections(s.plan.Half())); changed {
-		send(&handover.Message{Kind: handover.Share, N: int64(n)})
+		send(&handover.Message{Kind: handover.Share, Number: int64(n)})
 	}
 }
 
--- a/internal/daemon/split_test.go
+++ b/internal/daemon/split_test.go
@@ -60,7 +60,7 @@
 	shares := make(chan int, 100)
 	s.shareWithSuccessor(func(m *handover.Message) {
 		if m.Kind == handover.Share {
-			shares <- int(m.N)
+			shares <- int(m.Number)
 		}
 	})
 	all := 2 * plan.Half()
--- a/internal/decide/handover/message.go
+++ b/internal/decide/handover/message.go
@@ -34,13 +34,13 @@
 	Seq        uint64 // number of a claim; in a Drop from the guest, of the claim that is returned
 	Digest     Digest
 	Until      time.Duration // Unix time: attempts that arrived on the machine before it belong to the same request
-	Over       bool          // the run has ended
+	Ended      bool          // the run has ended
 	OK         bool          // the run has a result; in Drain: the drain is on
 	Stored     bool          // the result is in Body
 	Body       []byte
 	RetryAfter time.Duration // Drop: the retry-after delay in the rejection of the attempt
-	GiveUp     bool
-	N          int64 // Hello: the version. Claim: when the attempt arrived on the machine, in Unix nanoseconds. Share: descriptors
+	DoNotRetry bool          // Drop: that rejection asks the caller not to try elsewhere
+	Number     int64         // Hello: the version. Claim: when the attempt arrived on the machine, in Unix nanoseconds. Share: descriptors
 }
 
 // Valid reports whether k is a known message type.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -162,7 +162,7 @@
 		not    string
 	}{
 		{replica.Answer{Kind: replica.Served, Body: []byte("result"), Signal: signal}, []string{"result", "feedback", "0.5"}, "later"},
-		{replica.Answer{Kind: replica.Rejected, RetryAfter: 1500 * time.Microsecond, GiveUp: true, Signal: signal},
+		{replica.Answer{Kind: replica.Rejected, RetryAfter: 1500 * time.Microsecond, DoNotRetry: true, Signal: signal},
 			[]string{"later\x00\x00\x00\x012", "giveup\x00\x00\x00\x011", "feedback"}, "result"},
 		{replica.Answer{Kind: replica.Rejected}, nil, "later"},
 		{replica.Answer{Kind: replica.Failed, Signal: signal}, []string{"feedback"}, "giveup"},
--- a/internal/front/thrift.go
+++ b/internal/front/thrift.go
@@ -200,7 +200,7 @@
 				ms := max(1, (a.RetryAfter+time.Millisecond/2)/time.Millisecond)
 				fields = append(fields, [2]string{"later", strconv.FormatInt(int64(ms), 10)})
 			}
-			if a.GiveUp {
+			if a.DoNotRetry {
 				fields = append(fields, [2]string{"giveup", "1"})
 			}
 			dst = appendException(dst, 1, fields)
--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -23,10 +23,10 @@
 
 // The flags of a message.
 const (
-	flagOver = 1 << iota
+	flagEnded = 1 << iota
 	flagOK
 	flagStored
-	flagGiveUp
+	flagDoNotRetry
 	flagsEnd
 )
 
@@ -35,7 +35,7 @@
 func appendMessage(dst []byte, m *handover.Message) []byte {
 	start := len(dst)
 	var flags byte
-	for bit, on := range map[byte]bool{flagOver: m.Over, flagOK: m.OK, flagStored: m.Stored, flagGiveUp: m.GiveUp} {
+	for bit, on := range map[byte]bool{flagEnded: m.Ended, flagOK: m.OK, flagStored: m.Stored, flagDoNotRetry: m.DoNotRetry} {
 		if on {
 			flags |= bit
 		}
@@ -44,7 +44,7 @@
 	dst = binary.AppendUvarint(dst, m.Seq)
 	dst = binary.AppendVarint(dst, int64(m.Until))
 	dst = binary.AppendVarint(dst, int64(m.RetryAfter))
-	dst = binary.AppendVarint(dst, m.N)
+	dst = binary.AppendVarint(dst, m.Number)
 	dst = append(dst, m.Digest[:]...)
 	dst = append(binary.AppendUvarint(dst, uint64(len(m.Key))), m.Key...)
 	dst = append(binary.AppendUvarint(dst, uint64(len(m.Body))), m.Body...)
@@ -68,7 +68,7 @@
 	head := r.take(2)
 	m.Seq = r.uvarint()
 	m.Until, m.RetryAfter = time.Duration(r.varint()), time.Duration(r.varint())
-	m.N = r.varint()
+	m.Number = r.varint()
 	copy(m.Digest[:], r.take(len(m.Digest)))
 	m.Key = string(r.take(int(r.length())))
 	m.Body = r.take(int(r.length()))
@@ -79,8 +79,8 @@
 	if !m.Kind.Valid() || head[1] >= flagsEnd {
 		return m, buf, false, fmt.Errorf("%w: unknown kind %d or flags %x", ErrMalformed, head[0], head[1])
 	}
-	m.Over, m.OK = head[1]&flagOver != 0, head[1]&flagOK != 0
-	m.Stored, m.GiveUp = head[1]&flagStored != 0, head[1]&flagGiveUp != 0
+	m.Ended, m.OK = head[1]&flagEnded != 0, head[1]&flagOK != 0
+	m.Stored, m.DoNotRetry = head[1]&flagStored != 0, head[1]&flagDoNotRetry != 0
 	return m, buf[headerBytes+int(n):], true, nil
 }
 
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -317,18 +317,18 @@
 		l.events.LinkDown()
 	}()
 	if guest {
-		l.Send(&handover.Message{Kind: handover.Hello, N: handover.Version})
+		l.Send(&handover.Message{Kind: handover.Hello, Number: handover.Version})
 		l.events.LinkUp(true)
 	}
 	helloReceived := guest
 	err = readMessages(c, func(m *handover.Message) error {
 		received = true
 		switch {
-		case m.Kind == handover.Hello && !helloReceived && m.N == handover.Version:
+		case m.Kind == handover.Hello && !helloReceived && m.Number == handover.Version:
 			helloReceived = true
 			l.events.LinkUp(false)
 		case m.Kind == handover.Hello, !helloReceived:
-			return fmt.Errorf("%w: kind %d with number %d where a hello of version %d is expected", ErrMalformed, m.Kind, m.N, handover.Version)
+			return fmt.Errorf("%w: kind %d with number %d where a hello of version %d is expected", ErrMalformed, m.Kind, m.Number, handover.Version)
 		default:
 			synced = synced || m.Kind == handover.Synced
 			l.events.MessageReceived(m)
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -244,7 +244,7 @@
 		c, _ = net.Dial("unix", filepath.Join(dir, socketName))
 	}
 	defer c.Close()
-	c.Write(appendMessage(nil, &handover.Message{Kind: handover.Hello, N: handover.Version}))
+	c.Write(appendMessage(nil, &handover.Message{Kind: handover.Hello, Number: handover.Version}))
 	old.expect(t, "joined false")
 	for old.readMark() != markComplete {
 		time.Sleep(time.Millisecond)
@@ -286,7 +286,7 @@
 func TestMalformedInputEndsOnlyTheLink(t *testing.T) {
 	dir := t.TempDir()
 	old := startProcess(t, dir)
-	for _, p := range [][]byte{[]byte("GET / HTTP/1.1\r\n"), appendMessage(nil, &handover.Message{Kind: handover.Hello, N: 99}),
+	for _, p := range [][]byte{[]byte("GET / HTTP/1.1\r\n"), appendMessage(nil, &handover.Message{Kind: handover.Hello, Number: 99}),
 		appendMessage(nil, &handover.Message{Kind: handover.Claim})} {
 		var c net.Conn
 		for c == nil {
@@ -304,10 +304,10 @@
 }
 
 var sampleMessages = []handover.Message{
-	{Kind: handover.Hello, N: handover.Version},
-	{Kind: handover.Entry, Key: "u 5c0f", Seq: 7, Digest: handover.Digest{1, 2, 3}, Until: 1 << 60, Over: true, OK: true, Stored: true, Body: []byte("result")},
-	{Kind: handover.Drop, Key: "u 5c0f", Seq: 1 << 40, RetryAfter: time.Second, GiveUp: true},
-	{Kind: handover.Share, N: -1},
+	{Kind: handover.Hello, Number: handover.Version},
+	{Kind: handover.Entry, Key: "u 5c0f", Seq: 7, Digest: handover.Digest{1, 2, 3}, Until: 1 << 60, Ended: true, OK: true, Stored: true, Body: []byte("result")},
+	{Kind: handover.Drop, Key: "u 5c0f", Seq: 1 << 40, RetryAfter: time.Second, DoNotRetry: true},
+	{Kind: handover.Share, Number: -1},
 }
 
 func TestMessagesSplitAtAnyByte(t *testing.T) {
--- a/internal/lab/model/simulation.go
+++ b/internal/lab/model/simulation.go
@@ -510,13 +510,13 @@
 	if state.txn == r.txn && state.arriving && a.Kind == replica.Rejected {
 		state.arriving = false // rejected as soon as it was read
 	}
-	if a.GiveUp {
+	if a.DoNotRetry {
 		sim.result.DoNotRetry++
 		if sim.scenario.Mode == Fleet && sim.otherBoxIdle(b) {
 			sim.result.DoNotRetryWhileIdle++
 		}
 	}
-	hints := Hints{RetryAfter: a.RetryAfter, DoNotRetry: a.GiveUp, Signal: a.Signal.Value, HasSignal: a.Signal.Set}
+	hints := Hints{RetryAfter: a.RetryAfter, DoNotRetry: a.DoNotRetry, Signal: a.Signal.Value, HasSignal: a.Signal.Set}
 	sim.Schedule(sim.now+networkDelay, func() { sim.handleAnswer(state, r.txn, b.number, a.Kind, hints) })
 }
 
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -47,13 +47,13 @@
 
 func entryMessage(k *key) *handover.Message {
 	return &handover.Message{Kind: handover.Entry, Key: k.name, Seq: k.claimSeq, Digest: k.digest, Until: k.windowEnd,
-		Over: k.ended, OK: k.succeeded, Stored: k.stored, Body: k.result}
+		Ended: k.ended, OK: k.succeeded, Stored: k.stored, Body: k.result}
 }
 
 // sendDrop informs the peer that a key is free again because its attempt never ran.
 func (r *Replica) sendDrop(k *key) {
 	if !k.remote && k.name[0] == 'u' {
-		r.sendToPeer(&handover.Message{Kind: handover.Drop, Key: k.name, Seq: k.claimSeq, RetryAfter: k.rejection.RetryAfter, GiveUp: k.rejection.GiveUp})
+		r.sendToPeer(&handover.Message{Kind: handover.Drop, Key: k.name, Seq: k.claimSeq, RetryAfter: k.rejection.RetryAfter, DoNotRetry: k.rejection.DoNotRetry})
 	}
 }
 
@@ -70,7 +70,7 @@
 		return
 	case handover.SendClaim:
 		r.sendToPeer(&handover.Message{Kind: handover.Claim, Key: key, Seq: seq, Digest: req.digest,
-			Until: req.arrivedAt + req.class.DedupWindow + keyMargin, N: int64(req.arrivedAt)})
+			Until: req.arrivedAt + req.class.DedupWindow + keyMargin, Number: int64(req.arrivedAt)})
 	}
 	r.peerState.waiting[key] = append(r.peerState.waiting[key], req)
 	r.clock.AfterFunc(min(claimTimeout, max(req.arrivedAt+r.callerWait(req)-now, 0)), func() {
@@ -253,7 +253,7 @@
 		k = r.enterRemote(m.Key, m.Digest, m.Until, r.remoteRetention())
 	}
 	k.windowEnd, k.dropAt = m.Until, m.Until+r.remoteRetention()
-	if m.Over && !(k.ended && k.succeeded) {
+	if m.Ended && !(k.ended && k.succeeded) {
 		r.peerState.claims.Ended(m.Key)
 		k.ended, k.succeeded = true, m.OK
 		a := Answer{Kind: Failed}
@@ -281,7 +281,7 @@
 	}
 	r.keys.drop(k)
 	if owner {
-		r.releaseWaiting(k, Answer{Kind: Rejected, RetryAfter: m.RetryAfter, GiveUp: m.GiveUp}, policy.Failed)
+		r.releaseWaiting(k, Answer{Kind: Rejected, RetryAfter: m.RetryAfter, DoNotRetry: m.DoNotRetry}, policy.Failed)
 	} else {
 		r.releaseWaiting(k, Answer{Kind: Failed}, policy.Failed)
 	}
@@ -289,7 +289,7 @@
 
 func (r *Replica) receiveClaim(m *handover.Message) {
 	k := r.keys.byName[m.Key]
-	free := k == nil || k.ran && k.ended && time.Duration(m.N) > k.windowEnd
+	free := k == nil || k.ran && k.ended && time.Duration(m.Number) > k.windowEnd
 	if !r.peerState.claims.Claimed(m.Key, m.Seq, free) {
 		if assert.That(k != nil, "a rejected claim refers to a known key") {
 			r.sendToPeer(entryMessage(k))
--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -69,7 +69,7 @@
 		r.count.lowClass.Inc()
 		r.figures.fleetRejections[req.classIndex][reasonLowClass].Add(1)
 	}
-	rejection := Answer{Kind: Rejected, RetryAfter: a.HoldOff, GiveUp: a.DoNotRetry}
+	rejection := Answer{Kind: Rejected, RetryAfter: a.HoldOff, DoNotRetry: a.DoNotRetry}
 	r.answer(req, rejection)
 	if req.running {
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,7 +84,7 @@
 	Kind       Kind
 	Body       []byte        // valid only during the call
 	RetryAfter time.Duration // Rejected: the caller should not retry before this has passed
-	GiveUp     bool          // Rejected: the caller should not retry at another replica
+	DoNotRetry bool          // Rejected: the caller should not retry at another replica
 	Signal     Signal        // sent along with the answer
 }
 
@@ -367,7 +367,7 @@
 		if a.RetryAfter > 0 {
 			r.count.withLater.Inc()
 		}
-		if a.GiveUp {
+		if a.DoNotRetry {
 			r.count.withGiveUp.Inc()
 		}
 	default:
--- a/internal/settings/scenario_test.go
+++ b/internal/settings/scenario_test.go
@@ -112,7 +112,7 @@
 }
 
 func (r reply) Answer(a replica.Answer) {
-	r.c.record("%s: %d %q %v %v %v", r.txn, a.Kind, a.Body, a.RetryAfter, a.GiveUp, a.Signal)
+	r.c.record("%s: %d %q %v %v %v", r.txn, a.Kind, a.Body, a.RetryAfter, a.DoNotRetry, a.Signal)
 }
 
 // play runs the site's replica through random events and returns its decisions, under the example's names.
