--- a/internal/lab/mutants/incidents.go
+++ b/internal/lab/mutants/incidents.go
@@ -2,8 +2,9 @@
 
 // Incidents are the mutants of the fixes that docs/incidents describes.
 var Incidents = []Mutant{
-	{"messages counted as calls", "internal/front/thrift.go", "		case h.Type == thrift.Call && h.Name == serveMethod:\n", "		case true:\n", "./internal/front", "TestCallsAfterForgetsInOneInputAreAccepted"},
-	{"calls given up counted as awaited", "internal/decide/conns/calls.go", "	c.awaited--\n	return call.id, true\n", "	return call.id, true\n", "./internal/front", "TestCallsThatWereGivenUpDoNotCountAsAwaited"},
+	{"messages counted as calls", "internal/front/session.go", "s.calls.Check(s.now(), listCalls(buf))", "s.calls.Check(s.now(), conns.Input{Opened: make([]conns.Call, countMessages(buf))})", "./internal/front", "TestCallsAfterForgetsInOneInputAreAccepted"},
+	{"calls given up counted as awaited", "internal/decide/conns/calls.go", "	c.unanswered[seq] = openCall{Call: call.Call, givenUp: true}\n	c.givenUp++\n", "", "./internal/front", "TestCallsThatWereGivenUpDoNotCountAsAwaited"},
+	{"calls counted as awaited beyond their limit", "internal/decide/conns/calls.go", "return c.Until != 0 && now >= c.Until", "return false && now >= c.Until", "./internal/front", "TestCallsWhoseWaitIsOverDoNotCountAsAwaited"},
 	{"calls over the limit accepted", "internal/decide/conns/calls.go", "	rejection.all = awaited > MaxAwaited\n", "	rejection.all = false\n", "./internal/front", "TestCallsOverLimitAreRejected"},
 	{"unanswered calls not bounded", "internal/front/session.go", "	case full || rejection.Rejects(h.Seq):\n", "	case full && false || rejection.Rejects(h.Seq):\n", "./internal/front", "TestUnansweredCallsAreBounded"},
 	{"place freed before the close", "internal/front/closing.go", "			s.table.StartClosing(f)\n", "			s.table.Remove(f)\n", "./internal/front", "TestConnectionBeingClosedKeepsItsPlace"},
