review/8: bad clients that walk away leave the usual routers without answers

Cause, as far as known: one processor without turn-taking between connections. While a client connects, sends and leaves at full speed, what stands in the scheduler's global queue waits for seconds; the memory of review/7 adds the collector's work.

Added: the case as a script with its claim. Nothing outside review/ is changed.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(log *record, trouble bool) error{
 	"6": doubtIsNotHandedOn,
 	"7": badClientsFillMemory,
+	"8": badClientsStarveRouters,
 }
 
 func main() {
