Review: the stand-ins take the names of classes and tenants from a file

Cause: TestNoProgramContainsSiteNames found the names of a site's classes and tenants in the source of review/probe.

The cases do the same as before.

--- a/review/probe/case6.go
+++ b/review/probe/case6.go
@@ -10,7 +10,6 @@
 
 // Times of the pages.
 const (
-	window    = 9618 * time.Millisecond                   // of note-save
 	readyTime = 6 * time.Second                           // which a new process is given to say yes
 	killTime  = 3*time.Second + 700*time.Millisecond      // from SIGTERM to SIGKILL in a replacement
 	runTime   = 200 * time.Millisecond                    // of a save
@@ -23,8 +22,12 @@
 // beside it, so that the second one does not know which saves have run. Then a third process replaces the second one. Further
 // tries of a save that ran in the first process arrive all the time, within the window.
 func doubtIsNotHandedOn(log *record, trouble bool) error {
+	s, err := readSite()
+	if err != nil {
+		return err
+	}
 	e := engine.New(func(string) time.Duration { return runTime })
-	b, err := newBox("n3", log, perth(), true, e)
+	b, err := newBox("n3", log, s.settings, true, e)
 	if err != nil {
 		return err
 	}
@@ -38,7 +41,7 @@
 	}
 	time.Sleep(time.Second)
 
-	save := try{class: "note-save", tenant: "riverside-uni", key: newKey(), body: "the note", limit: waitLimit}
+	save := try{class: s.keyed, tenant: s.tenants[0], key: newKey(), body: "the note", limit: waitLimit}
 	door := time.Now()
 	send := func(n int) answer {
 		t := save
@@ -91,7 +94,7 @@
 	if !handOver(b, second) {
 		return fmt.Errorf("the second process did not end")
 	}
-	for time.Since(door) < window-200*time.Millisecond && n < 9 {
+	for time.Since(door) < s.window-200*time.Millisecond && n < 9 {
 		n++
 		send(n)
 		time.Sleep(200 * time.Millisecond)
--- a/review/probe/case7.go
+++ b/review/probe/case7.go
@@ -43,7 +43,7 @@
 type badCounts struct{ sent, refused, failed, served, closed atomic.Int64 }
 
 // badClient sends requests whose ids the engine does not know, and each of them again as soon as it is turned away.
-func badClient(addr string, number int, stop *atomic.Bool, n *badCounts) {
+func badClient(addr string, s *site, number int, stop *atomic.Bool, n *badCounts) {
 	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return
@@ -53,8 +53,8 @@
 	message := func(dst []byte) []byte {
 		seq++
 		n.sent.Add(1)
-		fields := [][2]string{{"verb", "exam-revision"}, {"txn", newID()}, {"door", strconv.FormatInt(time.Now().UnixMilli(), 10)},
-			{"lb", strconv.Itoa(number)}, {"team", "riverside-uni"}, {"ram", "24.5"}, {"standing", "0.6250"}, {"limit", "5300"}}
+		fields := [][2]string{{"verb", s.reads[2]}, {"txn", newID()}, {"door", strconv.FormatInt(time.Now().UnixMilli(), 10)},
+			{"lb", strconv.Itoa(number)}, {"team", s.tenants[0]}, {"ram", "24.5"}, {"standing", "0.6250"}, {"limit", "5300"}}
 		return thrift.AppendFrame(dst, func(b []byte) []byte {
 			b = thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: "serve", Seq: seq})
 			b = thrift.AppendStringMap(thrift.AppendField(b, thrift.Map, 1), fields)
@@ -104,12 +104,16 @@
 // badClientsFillMemory has a few bad clients repeat what is turned away, beside a little usual traffic, and watches the memory of the
 // replica.
 func badClientsFillMemory(log *record, trouble bool) error {
+	s, err := readSite()
+	if err != nil {
+		return err
+	}
 	e, err := startKnowingEngine(runTime)
 	if err != nil {
 		return err
 	}
 	defer e.ln.Close()
-	b, err := newBox("n3", log, perth(), false, nil)
+	b, err := newBox("n3", log, s.settings, false, nil)
 	if err != nil {
 		return err
 	}
@@ -137,7 +141,7 @@
 			routers.Add(1)
 			go func() {
 				defer routers.Done()
-				t := try{class: "lecture-page", tenant: "hills-college", body: "page", limit: 5300 * time.Millisecond, id: newID()}
+				t := try{class: s.reads[1], tenant: s.tenants[1], body: "page", limit: 5300 * time.Millisecond, id: newID()}
 				e.announce(t.id)
 				good.sent.Add(1)
 				if a := ask(b.listen, t, t.limit+slack); a.kind == "served" {
@@ -153,7 +157,7 @@
 		for i := range badClients {
 			go func() {
 				for !stop.Load() { // a client whose connection was closed connects again
-					badClient(b.listen, 100+i, &stop, &bad)
+					badClient(b.listen, s, 100+i, &stop, &bad)
 					time.Sleep(100 * time.Millisecond)
 				}
 			}()
--- a/review/probe/case8.go
+++ b/review/probe/case8.go
@@ -24,12 +24,12 @@
 
 // leavingClient sends requests with ids that the engine does not know, hundreds on a connection, reads what it is sent meanwhile, walks
 // away after the last one and does the same again.
-func leavingClient(addr string, stop *atomic.Bool, n *badCounts) {
+func leavingClient(addr string, s *site, stop *atomic.Bool, n *badCounts) {
 	messages := make([][]byte, leavingRequests)
 	for !stop.Load() {
 		for i := range messages {
-			fields := [][2]string{{"verb", "note-save"}, {"txn", newID()}, {"door", strconv.FormatInt(time.Now().UnixMilli(), 10)},
-				{"lb", "9"}, {"team", "riverside-uni"}, {"ram", "24.5"}, {"standing", "0.6250"}, {"limit", "3200"}, {"unique", newKey()}}
+			fields := [][2]string{{"verb", s.keyed}, {"txn", newID()}, {"door", strconv.FormatInt(time.Now().UnixMilli(), 10)},
+				{"lb", "9"}, {"team", s.tenants[0]}, {"ram", "24.5"}, {"standing", "0.6250"}, {"limit", "3200"}, {"unique", newKey()}}
 			messages[i] = thrift.AppendFrame(nil, func(b []byte) []byte {
 				b = thrift.AppendHeader(b, thrift.Header{Type: thrift.Call, Name: "serve", Seq: int32(i + 1)})
 				b = thrift.AppendStringMap(thrift.AppendField(b, thrift.Map, 1), fields)
@@ -67,7 +67,7 @@
 }
 
 // router sends requests on one connection until the end and counts how they end.
-func (u *usualCounts) router(addr string, e *knowingEngine, class string, end time.Time, open *sync.WaitGroup) {
+func (u *usualCounts) router(addr string, e *knowingEngine, class, tenant string, end time.Time, open *sync.WaitGroup) {
 	defer open.Done()
 	var c *caller
 	for time.Now().Before(end) {
@@ -79,7 +79,7 @@
 				continue
 			}
 		}
-		t := try{class: class, tenant: "hills-college", body: "page", limit: 3200 * time.Millisecond, id: newID()}
+		t := try{class: class, tenant: tenant, body: "page", limit: 3200 * time.Millisecond, id: newID()}
 		e.announce(t.id)
 		at := time.Now()
 		got, err := c.send(t)
@@ -121,12 +121,16 @@
 // badClientsStarveRouters has a few bad clients send requests at full speed and walk away, and checks that those of the usual routers are
 // answered.
 func badClientsStarveRouters(log *record, trouble bool) error {
+	s, err := readSite()
+	if err != nil {
+		return err
+	}
 	e, err := startKnowingEngine(runTime / 4)
 	if err != nil {
 		return err
 	}
 	defer e.ln.Close()
-	b, err := newBox("n3", log, perth(), false, nil)
+	b, err := newBox("n3", log, s.settings, false, nil)
 	if err != nil {
 		return err
 	}
@@ -148,12 +152,12 @@
 	end := time.Now().Add(starveTime)
 	for i := range routers {
 		open.Add(1)
-		go usual.router(b.listen, e, []string{"segment-fetch", "lecture-page"}[i%2], end, &open)
+		go usual.router(b.listen, e, s.reads[i%2], s.tenants[1], end, &open)
 	}
 	if trouble {
 		log.printf("%d bad clients begin, %d requests on each connection", leavingClients, leavingRequests)
 		for range leavingClients {
-			go leavingClient(b.listen, &stop, &bad)
+			go leavingClient(b.listen, s, &stop, &bad)
 		}
 	}
 	for time.Now().Before(end) {
