--- a/review/probe/caller.go
+++ b/review/probe/caller.go
@@ -88,6 +88,13 @@
 	return got, err
 }
 
+// openCalls returns the number of tries without an answer, whether the router still waits for them or not.
+func (c *caller) openCalls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 func (c *caller) read() {
 	in := bufio.NewReader(c.conn)
 	for {
--- a/review/probe/case8.go
+++ b/review/probe/case8.go
@@ -19,6 +19,7 @@
 	routers         = 4                     // routers, with one connection each
 	routerPause     = 40 * time.Millisecond // between two requests of a router
 	allowedLost     = 0.003                 // share of requests that may go without a final answer in their time
+	mostOpen        = 32                    // requests that a router has open on a connection at most
 	closeCrossing   = 50 * time.Millisecond // a request written so shortly before the end of its connection is sent again
 )
 
@@ -79,6 +80,9 @@
 				continue
 			}
 		}
+		if c.openCalls() >= mostOpen {
+			continue
+		}
 		t := try{class: class, tenant: tenant, body: "page", limit: 3200 * time.Millisecond, id: newID()}
 		e.announce(t.id)
 		at := time.Now()
@@ -162,8 +166,9 @@
 	}
 	for time.Now().Before(end) {
 		time.Sleep(2 * time.Second)
-		log.printf("usual: %v; bad: %d sent, %d bytes of answers read, %d connections closed; anonymous memory %d KB",
-			usual, bad.sent.Load(), bad.failed.Load(), bad.closed.Load(), anonymousKB(p.Pid()))
+		runs, denied := e.counts()
+		log.printf("usual: %v; engine: %d runs, %d unknown ids; bad: %d sent, %d bytes of answers read, %d connections closed; anonymous memory %d KB",
+			usual, runs, denied, bad.sent.Load(), bad.failed.Load(), bad.closed.Load(), anonymousKB(p.Pid()))
 	}
 	stop.Store(true)
 	open.Wait()
