--- a/policy/dependency_calls.go
+++ b/policy/dependency_calls.go
@@ -115,7 +115,7 @@
 func (c *Controller) overdueCalls() int {
 	overdue, first := 0, 0
 	for ; first < len(c.openCalls) && c.now-c.openCalls[first].at > c.callLimit.overdueAge(); first++ {
-		if e := c.openCalls[first]; e.req.state == calling && !e.req.ended && e.req.callStartedAt == e.at {
+		if e := c.openCalls[first]; e.isOpenCall() {
 			c.openCalls[overdue] = e
 			overdue++
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	maxTimeoutVotes  = 50   // bound on the votes for a caller's usual time-out, as callers change theirs
 	repeatThreshold  = 0.15 // share of retries among arrivals above which other servers also reject
 	idleCostShare    = 0.25 // share of IdleTimeout; idling for that long costs as much as a new connection
+	maxCallers       = 8192 // callers whose statistics are kept in each of the two periods
 )
 
 // state is the stage of a live request.
@@ -71,25 +72,6 @@
 	lastSeen     time.Duration
 }
 
-type entry struct {
-	at  time.Duration
-	req *request
-}
-
-// queue is a min-heap ordered by time; it implements heap.Interface.
-type queue []entry
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)        { *q = append(*q, x.(entry)) }
-
-func (q *queue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
-}
-
 // limitStat is what was measured at one value of the run limit.
 type limitStat struct {
 	throughput, latency float64
@@ -261,9 +243,11 @@
 	return r.arrived
 }
 
-// callerStats returns the statistics of r's caller and removes those of callers not seen for a while.
+// callerStats returns the statistics of r's caller and removes those of callers not seen for a while. With
+// more than maxCallers callers, the while is shorter: those that were seen least recently are removed.
 func (c *Controller) callerStats(r *request) *caller {
-	if age := c.cfg.IdleTimeout + r.class.Deadline; c.now-c.callersRotatedAt > age {
+	age := c.cfg.IdleTimeout + r.class.Deadline
+	if c.now-c.callersRotatedAt > age || len(c.callers) >= maxCallers {
 		c.callers, c.oldCallers, c.callersRotatedAt = map[int]*caller{}, c.callers, c.now
 	}
 	known := c.callers[r.Caller]
@@ -359,12 +343,13 @@
 	}
 }
 
-// beginEvent sets the clock. Events with the same time belong to one batch.
+// beginEvent sets the clock and bounds the queues. Events with the same time belong to one batch.
 func (c *Controller) beginEvent(now time.Duration) {
 	if now != c.now {
 		clear(c.rejectedInBatch)
 	}
 	c.now = now
+	c.pruneQueues()
 }
 
 // random returns a number in [0, 1) by SplitMix64.
