Leave nothing of a dropped key in the key table

Entries of keys that were free again, and results that were evicted, stayed in lists of the table until all older entries had expired; and a tick dropped 64 expired entries at most.

Change: expiries are a heap with an index in each entry, results a linked list, and a tick drops all that have expired. A result that the other process reports is passed on even if it is too large to be kept.

--- a/internal/replica/key_table.go
+++ b/internal/replica/key_table.go
@@ -1,7 +1,12 @@
 package replica
 
 import (
+	"cmp"
+	"container/heap"
+	"container/list"
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"time"
 
 	"cairnlane/internal/decide/handover"
@@ -20,7 +25,8 @@
 	ended     bool            // the run has ended
 	succeeded bool            // the run succeeded
 	result    []byte          // nil once evicted
-	stored    bool            // result is stored
+	stored    *list.Element   // its element in keyTable.results; nil if no result is stored
+	expiry    int             // its index in keyTable.expiries
 	waiting   []*request
 	remote    bool   // the run belongs to the peer process
 	claimSeq  uint64 // number of the claim by which the peer process granted the key
@@ -36,18 +42,46 @@
 	}
 }
 
-// maxExpirePerTick limits the number of entries that one tick examines.
-const maxExpirePerTick = 64
-
+// keyTable holds the entries of keys. Nothing of an entry stays behind once it is dropped, so the memory of the table follows the
+// entries inside their windows. The module limits their number by their cost.
 type keyTable struct {
 	byName         map[string]*key
 	byHolder       map[policy.RequestID]*key
-	byAge          []*key // in order of creation
-	results        []*key // entries with a stored result, oldest first
-	resultBytes    int    // total size of the stored results
+	expiries       keyExpiries
+	results        list.List // of *key: entries with a stored result, oldest first
+	resultBytes    int       // total size of the stored results
 	maxResultBytes int
 }
 
+func newKeyTable(maxResultBytes int) keyTable {
+	return keyTable{byName: map[string]*key{}, byHolder: map[policy.RequestID]*key{}, maxResultBytes: maxResultBytes}
+}
+
+// keyExpiries is a min-heap of all entries by dropAt; it implements heap.Interface.
+type keyExpiries []*key
+
+func (e keyExpiries) Len() int           { return len(e) }
+func (e keyExpiries) Less(i, j int) bool { return e[i].dropAt < e[j].dropAt }
+
+func (e keyExpiries) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].expiry, e[j].expiry = i, j
+}
+
+func (e *keyExpiries) Push(x any) {
+	k := x.(*key)
+	k.expiry = len(*e)
+	*e = append(*e, k)
+}
+
+func (e *keyExpiries) Pop() any {
+	last := len(*e) - 1
+	k := (*e)[last]
+	(*e)[last] = nil
+	*e = (*e)[:last]
+	return k
+}
+
 // keyName returns the name of a request's entry in the key table, or "" if it has none.
 func keyName(req *request) string {
 	switch {
@@ -99,52 +133,66 @@
 		t.drop(old)
 	}
 	t.byName[k.name], t.byHolder[k.holder] = k, k
-	t.byAge = append(t.byAge, k)
+	heap.Push(&t.expiries, k)
 }
 
+// drop removes an entry. An entry that was dropped before is left as it is.
 func (t *keyTable) drop(k *key) {
+	if t.byHolder[k.holder] != k {
+		return
+	}
 	if t.byName[k.name] == k {
 		delete(t.byName, k.name)
 	}
 	delete(t.byHolder, k.holder)
+	heap.Remove(&t.expiries, k.expiry)
 	t.unstore(k)
 }
 
+// extend moves the window of an entry.
+func (t *keyTable) extend(k *key, windowEnd, dropAt time.Duration) {
+	k.windowEnd, k.dropAt = windowEnd, dropAt
+	heap.Fix(&t.expiries, k.expiry)
+}
+
+// inOrder returns all entries in order of creation.
+func (t *keyTable) inOrder() []*key {
+	return slices.SortedFunc(maps.Values(t.byHolder), func(a, b *key) int { return cmp.Compare(a.holder, b.holder) })
+}
+
+// unstore drops the stored result of an entry, if there is one.
 func (t *keyTable) unstore(k *key) {
+	if k.stored == nil {
+		return
+	}
 	t.resultBytes -= len(k.result)
-	k.result, k.stored = nil, false
+	t.results.Remove(k.stored)
+	k.result, k.stored = nil, nil
 }
 
-// store keeps the result for repeats. If the stored results exceed maxResultBytes, the oldest are evicted.
+// store keeps the result of an entry for repeats. If the stored results exceed maxResultBytes, the oldest are evicted. The
+// result of an entry that was dropped before is not kept.
 func (t *keyTable) store(k *key, result []byte) {
-	k.result, k.stored = append([]byte{}, result...), true
+	if t.byHolder[k.holder] != k {
+		return
+	}
+	t.unstore(k)
+	k.result, k.stored = append([]byte{}, result...), t.results.PushBack(k)
 	t.resultBytes += len(result)
-	t.results = append(t.results, k)
-	for len(t.results) > 0 && (t.resultBytes > t.maxResultBytes || !t.results[0].stored) {
-		t.unstore(t.results[0])
-		t.results = t.results[1:]
+	for t.resultBytes > t.maxResultBytes {
+		t.unstore(t.results.Front().Value.(*key))
 	}
 }
 
-// expire drops entries whose window has ended. An entry whose run has not ended stays, because a repeat may wait
-// for it, but moves to the end of the list: at the head it would block the expiry of all later entries. An entry
-// that has not run is dropped when the module forgets it.
+// expire drops the entries whose window has ended. An entry whose run has not ended stays, because a repeat may wait for it. An
+// entry that has not run is dropped when the module forgets it.
 func (t *keyTable) expire(now time.Duration) {
-	for n := min(len(t.byAge), maxExpirePerTick); n > 0; n-- {
-		k := t.byAge[0]
-		kept := t.byHolder[k.holder] == k
-		if kept && now <= k.dropAt {
-			return
-		}
-		t.byAge[0] = nil
-		t.byAge = t.byAge[1:]
-		switch {
-		case !kept: // dropped before
-		case k.ended:
+	for len(t.expiries) > 0 && t.expiries[0].dropAt < now {
+		k := t.expiries[0]
+		if k.ended {
 			t.drop(k)
-		default:
-			k.dropAt = now + keyMargin
-			t.byAge = append(t.byAge, k)
+		} else {
+			t.extend(k, k.windowEnd, now+keyMargin)
 		}
 	}
 }
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -47,7 +47,7 @@
 
 func entryMessage(k *key) *handover.Message {
 	return &handover.Message{Kind: handover.Entry, Key: k.name, Seq: k.claimSeq, Digest: k.digest, Until: k.windowEnd,
-		Ended: k.ended, OK: k.succeeded, Stored: k.stored, Body: k.result}
+		Ended: k.ended, OK: k.succeeded, Stored: k.stored != nil, Body: k.result}
 }
 
 // sendDrop informs the peer that a key is free again because its attempt never ran.
@@ -159,8 +159,8 @@
 		r.peerState.peer = p
 		r.peerState.claims.LinkUp()
 		owner := r.peerState.claims.Role() == handover.Owner
-		for _, k := range r.keys.byAge {
-			if r.keys.byName[k.name] == k && k.name[0] == 'u' && (owner || !k.remote) {
+		for _, k := range r.keys.inOrder() {
+			if k.name[0] == 'u' && (owner || !k.remote) {
 				r.sendToPeer(entryMessage(k))
 			}
 		}
@@ -208,8 +208,8 @@
 
 // failRemoteRuns ends the runs of the other process, which has gone. They may have run, so they fail.
 func (r *Replica) failRemoteRuns() {
-	for _, k := range r.keys.byAge {
-		if k.remote && !k.ended && r.keys.byName[k.name] == k {
+	for _, k := range r.keys.inOrder() {
+		if k.remote && !k.ended {
 			k.ended = true
 			r.releaseWaiting(k, Answer{Kind: Failed}, policy.Failed)
 		}
@@ -252,14 +252,14 @@
 	if k == nil || !k.remote {
 		k = r.enterRemote(m.Key, m.Digest, m.Until, r.remoteRetention())
 	}
-	k.windowEnd, k.dropAt = m.Until, m.Until+r.remoteRetention()
+	r.keys.extend(k, m.Until, m.Until+r.remoteRetention())
 	if m.Ended && !(k.ended && k.succeeded) {
 		r.peerState.claims.Ended(m.Key)
 		k.ended, k.succeeded = true, m.OK
 		a := Answer{Kind: Failed}
 		if m.OK && m.Stored {
 			r.keys.store(k, m.Body)
-			a = Answer{Kind: Served, Body: k.result}
+			a = Answer{Kind: Served, Body: m.Body}
 		}
 		outcome := policy.Failed
 		if a.Kind == Served {
--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -146,7 +146,7 @@
 	case !k.ended:
 		req.waitsOn = k
 		k.waiting = append(k.waiting, req)
-	case k.stored:
+	case k.stored != nil:
 		r.finishRepeat(req, Answer{Kind: Served, Body: k.result}, policy.Succeeded)
 	default:
 		r.finishRepeat(req, Answer{Kind: Failed}, policy.Failed)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -182,7 +182,7 @@
 func New(cfg Config, clock Clock, engine Engine, set *counters.Set) (*Replica, error) {
 	r := &Replica{cfg: cfg, clock: clock, engine: engine, count: newCounts(set), classes: map[string]int{}, tenants: map[string]int{},
 		live: map[policy.RequestID]*request{}, txns: map[string]*request{},
-		keys: keyTable{byName: map[string]*key{}, byHolder: map[policy.RequestID]*key{}, maxResultBytes: cfg.MaxResultBytes}}
+		keys: newKeyTable(cfg.MaxResultBytes)}
 	r.peerState = newPeerState(cfg.Replaceable)
 	for i := range cfg.Policy.Classes {
 		r.classes[cfg.Policy.Classes[i].Name] = i
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -232,12 +232,12 @@
 		b.end(b.arrive(fmt.Sprint("k", i), 0, time.Second).txn, policy.Succeeded)
 	}
 	b.clock.Advance(window + 10*time.Second)
-	if len(b.keys.byName) != 1 || len(b.keys.byAge) != 1 {
-		t.Errorf("%d entries and %d in byAge, want only the one that runs", len(b.keys.byName), len(b.keys.byAge))
+	if len(b.keys.byName) != 1 || len(b.keys.expiries) != 1 {
+		t.Errorf("%d entries and %d in expiries, want only the one that runs", len(b.keys.byName), len(b.keys.expiries))
 	}
 	b.end(stuck.txn, policy.Succeeded)
 	b.clock.Advance(2 * time.Second)
-	if len(b.keys.byName)+len(b.keys.byHolder)+len(b.keys.byAge) != 0 {
+	if len(b.keys.byName)+len(b.keys.byHolder)+len(b.keys.expiries) != 0 {
 		t.Error("an entry was never dropped")
 	}
 }
