Stop the timers of a request when it ends

The timer of a claim on a key (200 ms) and of a run in doubt (until its answer is due) kept its request until it fired, so that memory followed the rate of keyed requests in a replacement.

Change: Clock.AfterFunc returns a stop function; a request's timers are stopped when it is removed.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -19,5 +19,8 @@
 	return s.unix + time.Since(s.base)
 }
 
-// AfterFunc calls f in its own goroutine after d.
-func (s *System) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+// AfterFunc calls f in its own goroutine after d, unless stop is called before.
+func (s *System) AfterFunc(d time.Duration, f func()) (stop func()) {
+	timer := time.AfterFunc(d, f)
+	return func() { timer.Stop() }
+}
--- a/internal/lab/model/event_loop.go
+++ b/internal/lab/model/event_loop.go
@@ -38,7 +38,14 @@
 func (loop *EventLoop) Now() time.Duration { return loop.now }
 
 // AfterFunc implements replica.Clock.
-func (loop *EventLoop) AfterFunc(d time.Duration, f func()) { loop.Schedule(loop.now+max(d, 0), f) }
+func (loop *EventLoop) AfterFunc(d time.Duration, f func()) (stop func()) {
+	loop.Schedule(loop.now+max(d, 0), func() {
+		if f != nil {
+			f()
+		}
+	})
+	return func() { f = nil }
+}
 
 // Schedule schedules do at a time, or now if the time is past.
 func (loop *EventLoop) Schedule(at time.Duration, do func()) {
--- a/internal/lab/model/simulation.go
+++ b/internal/lab/model/simulation.go
@@ -321,8 +321,8 @@
 func (l processClock) Now() time.Duration { return l.sim.now }
 
 // AfterFunc implements replica.Clock.
-func (l processClock) AfterFunc(d time.Duration, f func()) {
-	l.sim.AfterFunc(d, func() {
+func (l processClock) AfterFunc(d time.Duration, f func()) (stop func()) {
+	return l.sim.AfterFunc(d, func() {
 		if !l.box.dead && l.box.incarnation == l.incarnation {
 			f()
 		}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -73,9 +73,10 @@
 			Until: req.arrivedAt + req.class.DedupWindow + keyMargin, Number: int64(req.arrivedAt)})
 	}
 	r.peerState.waiting[key] = append(r.peerState.waiting[key], req)
-	r.clock.AfterFunc(min(claimTimeout, max(req.arrivedAt+r.callerWait(req)-now, 0)), func() {
+	stop := r.clock.AfterFunc(min(claimTimeout, max(req.arrivedAt+r.callerWait(req)-now, 0)), func() {
 		r.locked(func(now time.Duration) { r.claimTimedOut(now, key, req) })
 	})
+	req.stopTimers = append(req.stopTimers, stop)
 }
 
 // claimTimedOut ends the wait of one attempt, and the claim itself when the last attempt has stopped waiting.
--- a/internal/replica/peer_test.go
+++ b/internal/replica/peer_test.go
@@ -355,3 +355,28 @@
 		}
 	})
 }
+
+// TestTimersEndWithTheirRequests guards against memory that grows with the rate of requests: the timer of a claim, or of a run in
+// doubt, kept its request until it fired.
+func TestTimersEndWithTheirRequests(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	before := p.new.clock.Timers()
+	for i := range 500 { // each asks the old process and is then rejected by the engine
+		a := p.new.arrive(fmt.Sprint("claimed ", i), 0, time.Second)
+		p.settle()
+		p.new.Rejected(a.txn)
+	}
+	for i := range 500 {
+		a := p.new.arrive(fmt.Sprint("in doubt ", i), 0, time.Second)
+		p.settle()
+		p.new.attach() // the link to the engine was lost
+		p.new.end(a.txn, policy.Succeeded)
+	}
+	if n := p.new.clock.Timers() - before; n > 0 {
+		t.Errorf("%d timers are left of 1000 requests that have ended", n)
+	}
+	if len(p.new.live) != 0 || len(p.violations()) > 0 {
+		t.Errorf("%d requests are live, violations %v", len(p.new.live), p.violations())
+	}
+}
--- a/internal/replica/policy_host.go
+++ b/internal/replica/policy_host.go
@@ -122,7 +122,8 @@
 		r.deferCall(abandon)
 		return
 	}
-	r.clock.AfterFunc(wait, func() { r.locked(abandon) })
+	stop := r.clock.AfterFunc(wait, func() { r.locked(abandon) })
+	req.stopTimers = append(req.stopTimers, stop)
 }
 
 // abandonInDoubt ends an in-doubt run that was not reported by the time its answer was due. If its end is reported
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,10 +19,11 @@
 	"cairnlane/policy"
 )
 
-// Clock returns the time since the Unix epoch on a monotonic base and runs functions after a delay.
+// Clock returns the time since the Unix epoch on a monotonic base and runs functions after a delay. A function whose stop is
+// called first does not run, and what it refers to is released.
 type Clock interface {
 	Now() time.Duration
-	AfterFunc(d time.Duration, f func())
+	AfterFunc(d time.Duration, f func()) (stop func())
 }
 
 // Engine is the engine that executes requests. Its methods never block.
@@ -144,6 +145,7 @@
 	inDoubt     bool      // RUN may have been lost with its link, or its end may be about to be reported: RUN is not resent
 	key         *key      // its entry in the key table, once there is one
 	waitsOn     *key      // entry of the attempt whose outcome this one waits for
+	stopTimers  []func()  // stop its timers; called when it is removed
 	call        indexCall // the index call that its run waits for, if any
 }
 
@@ -387,8 +389,12 @@
 	return req.WaitLimit
 }
 
-// remove drops a request from the tables of live requests and stops its index call.
+// remove drops a request from the tables of live requests and stops its timers and its index call.
 func (r *Replica) remove(req *request) {
+	for _, stop := range req.stopTimers {
+		stop()
+	}
+	req.stopTimers = nil
 	if req.call.outstanding {
 		r.cfg.Index.Stop(req.Txn)
 	}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -21,9 +22,11 @@
 	mu     sync.Mutex
 	now    time.Duration
 	timers []timer // in the order of their due times
+	last   int     // number of the last timer
 }
 
 type timer struct {
+	number   int
 	due      time.Duration
 	callback func()
 }
@@ -41,12 +44,26 @@
 // Time returns the clock's time as a time.Time.
 func (c *Clock) Time() time.Time { return time.Unix(0, int64(c.Now())) }
 
-// AfterFunc schedules f for d from now. It is called by the Advance that reaches that time.
-func (c *Clock) AfterFunc(d time.Duration, f func()) {
+// AfterFunc schedules f for d from now. It is called by the Advance that reaches that time, unless stop is called before.
+func (c *Clock) AfterFunc(d time.Duration, f func()) (stop func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.timers = append(c.timers, timer{c.now + d, f})
+	c.last++
+	number := c.last
+	c.timers = append(c.timers, timer{number, c.now + d, f})
 	sort.SliceStable(c.timers, func(i, j int) bool { return c.timers[i].due < c.timers[j].due })
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.timers = slices.DeleteFunc(c.timers, func(t timer) bool { return t.number == number })
+	}
+}
+
+// Timers returns the number of functions that are scheduled.
+func (c *Clock) Timers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.timers)
 }
 
 // Advance moves the clock forward by d and calls each timer that falls due, with the clock at the timer's due time.
