Trial of misbehaving clients against a real process with little memory

Need: the pictures of the operators (one client at full speed, crowds that write slowly or by halves, clients that leave) are to be played against a real process with both sites' settings before any fix.

Change: internal/lab/misuse and cairnctl trial misuse play fourteen pictures beside usual routers, and measure the memory from outside, the usual requests and the runs for clients that had left.

--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -32,6 +32,7 @@
 	"cairnlane/internal/lab/fleetsim"
 	"cairnlane/internal/lab/leases"
 	"cairnlane/internal/lab/members"
+	"cairnlane/internal/lab/misuse"
 	"cairnlane/internal/lab/mutants"
 	"cairnlane/internal/lab/rig"
 	"cairnlane/internal/operator"
@@ -83,6 +84,14 @@
 			Site    string   `default:"examples/config.json" type:"existingfile" help:"The settings to play with."`
 			Command []string `default:"bin/cairnlane" help:"Starts a replica."`
 		} `cmd:"" help:"Replace real replica processes under load on loopback, one in three with a kill."`
+		Misuse struct {
+			Seed    uint64        `default:"1" help:"Draws load and clients."`
+			Sites   []string      `default:"examples/config.json,examples/images/config.json" help:"The settings to play with, one after the other."`
+			Memory  int           `default:"32" help:"The process's memory_mb."`
+			Span    time.Duration `default:"5s" help:"How long each picture lasts."`
+			Picture []string      `help:"Play these pictures only."`
+			Command []string      `default:"bin/cairnlane" help:"Starts a replica."`
+		} `cmd:"" help:"Have clients misbehave against a real process with little memory on loopback."`
 		Leases struct {
 			Seed     uint64        `default:"1" help:"Draws faults, load and clocks."`
 			Boxes    int           `default:"7" help:"How many processes."`
@@ -249,6 +258,8 @@
 		return o.year(w)
 	case "trial replace":
 		return o.replace(w)
+	case "trial misuse":
+		return o.misuse(w)
 	case "trial leases":
 		return o.leases(w)
 	case "trial audit":
@@ -457,6 +468,27 @@
 	return printResult(w, f, f.Notes, f.FailedBounds())
 }
 
+// misuse runs the misuse trial on each site. The error lists the missed bounds.
+func (o *options) misuse(w io.Writer) error {
+	t := o.Trial.Misuse
+	var missed []string
+	played := 0
+	for _, site := range t.Sites {
+		fmt.Fprintln(w, site)
+		results, err := misuse.Run(misuse.Config{Seed: t.Seed, Command: t.Command, Site: site, MemoryMB: t.Memory, Span: t.Span, Pictures: t.Picture}, w)
+		if err != nil {
+			return err
+		}
+		for _, r := range results {
+			played++
+			for _, bound := range r.FailedBounds() {
+				missed = append(missed, site+": "+bound)
+			}
+		}
+	}
+	return printResult(w, fmt.Sprintf("figures: pictures=%d missed=%d", played, len(missed)), nil, missed)
+}
+
 // leases runs the leases trial. If bounds are missed it prints the schedule of faults and, with --shrink, a shorter one that
 // still misses bounds. The error lists the missed bounds.
 func (o *options) leases(w io.Writer) error {
--- /dev/null
+++ b/internal/lab/misuse/misuse.go
@@ -0,0 +1,362 @@
+// Package misuse plays clients that misbehave against a real process with little memory: clients that write at full speed, slowly or by
+// halves, that leave, or that come again under the same id. Beside them usual routers send requests. It measures the memory of the process
+// from outside, how the usual requests end, and what the engine ran for clients that had left.
+package misuse
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cairnlane/internal/fake/catalog"
+	"cairnlane/internal/fake/engine"
+	"cairnlane/internal/fake/index"
+	"cairnlane/internal/fake/router"
+	"cairnlane/internal/lab/rig"
+	"cairnlane/internal/operator"
+)
+
+// Config holds the settings of a trial.
+type Config struct {
+	Seed     uint64
+	Command  []string // starts a replica
+	Site     string   // path of the settings, as in examples/config.json
+	MemoryMB int      // memory_mb of the process
+	Span     time.Duration
+	Pictures []string // names of the pictures to play; empty: all
+}
+
+// picture is a kind of misuse.
+type picture struct {
+	name    string
+	clients int
+	keyed   bool // the clients send keyed requests
+	play    func(*client)
+}
+
+var pictures = []picture{
+	{"unsound", 1, false, (*client).unsound},
+	{"new names", 1, false, (*client).newNames},
+	{"new keys", 1, true, (*client).newNames},
+	{"withdrawn", 1, false, (*client).withdrawn},
+	{"withdrawn keys", 1, true, (*client).withdrawn},
+	{"many fields", 1, false, (*client).manyFields},
+	{"slow", 400, false, (*client).writeSlowly},
+	{"half a request", 400, false, (*client).stopHalfWay},
+	{"many fields, crowd", 300, false, (*client).manyFields},
+	{"unsound, crowd", 300, false, (*client).unsound},
+	{"leaving", 2, false, (*client).leave},
+	{"leaving, keyed", 2, true, (*client).leave},
+	{"coming again", 4, false, (*client).comeAgain},
+	{"coming again, keyed", 4, true, (*client).comeAgain},
+}
+
+// reportSignal makes a process print its counters.
+const reportSignal = syscall.SIGUSR1
+
+// Times of a trial.
+const (
+	readyTimeout   = 10 * time.Second
+	sampleInterval = 10 * time.Millisecond
+	usualTimeout   = 2500 * time.Millisecond
+	usualInterval  = 40 * time.Millisecond // mean time between two requests of a usual router
+	runTime        = 20 * time.Millisecond
+	leaveSlack     = 250 * time.Millisecond // a run that starts later was written to the engine after its client had left
+)
+
+// Bounds. Of the requests of the usual routers, at most 3 in 1,000 may go without an answer in their time.
+const (
+	sockets       = 1024
+	usualRouters  = 4
+	lostPerMille  = 3
+	bytesPerMB    = 1 << 20
+	bytesPerKB    = 1 << 10
+	settledPeriod = 500 * time.Millisecond
+)
+
+// Result is the result of one picture.
+type Result struct {
+	Picture         string
+	IdleKB, MostKB  int   // anonymous memory before the clients began, and at the most
+	LimitKB         int   // memory_mb
+	Written         int64 // bytes that the clients wrote
+	Read            int64 // bytes that the process read from its connections
+	Usual           rig.Tally
+	RunsAfterLeave  int           // runs that began later than leaveSlack after their client had left
+	DoubleRuns      int           // keyed requests that ran more than once
+	Ended           bool          // the process ended by itself
+	Notes           string
+}
+
+// FailedBounds returns the bounds that were not met.
+func (r *Result) FailedBounds() (list []string) {
+	if r.Ended {
+		list = append(list, r.Picture+": the process ended")
+	}
+	if r.MostKB > r.LimitKB {
+		list = append(list, fmt.Sprintf("%s: %d KB of memory, the limit is %d", r.Picture, r.MostKB, r.LimitKB))
+	}
+	if unanswered := r.Usual.Lost + r.Usual.Late; unanswered*1000 > lostPerMille*r.Usual.Requests {
+		list = append(list, fmt.Sprintf("%s: %d of %d usual requests had no answer in their time", r.Picture, unanswered, r.Usual.Requests))
+	}
+	if r.DoubleRuns > 0 {
+		list = append(list, fmt.Sprintf("%s: %d keyed requests ran twice", r.Picture, r.DoubleRuns))
+	}
+	if r.RunsAfterLeave > 0 {
+		list = append(list, fmt.Sprintf("%s: %d runs began after their client had left", r.Picture, r.RunsAfterLeave))
+	}
+	return list
+}
+
+// String returns the result as one line.
+func (r *Result) String() string {
+	return fmt.Sprintf("%-20s memory_kb=%d..%d of %d written_mb=%.1f read_mb=%.1f usual=%d served=%d refused=%d failed=%d lost=%d late=%d not_accepted=%d runs_after_leave=%d double_runs=%d%s",
+		r.Picture, r.IdleKB, r.MostKB, r.LimitKB, float64(r.Written)/bytesPerMB, float64(r.Read)/bytesPerMB, r.Usual.Requests, r.Usual.Served, r.Usual.Rejected, r.Usual.Failed, r.Usual.Lost,
+		r.Usual.Late, r.Usual.ConnectionRefused, r.RunsAfterLeave, r.DoubleRuns, r.Notes)
+}
+
+// ErrUnknownPicture is returned for a picture that does not exist.
+var ErrUnknownPicture = errors.New("misuse: unknown picture")
+
+// Run plays the pictures one after the other, each against a new process, and prints each result to progress.
+func Run(cfg Config, progress io.Writer) (results []*Result, err error) {
+	chosen := map[string]bool{}
+	for _, name := range cfg.Pictures {
+		chosen[name] = true
+	}
+	for _, p := range pictures {
+		if len(cfg.Pictures) > 0 && !chosen[p.name] {
+			continue
+		}
+		delete(chosen, p.name)
+		r, err := play(cfg, p)
+		if err != nil {
+			return results, fmt.Errorf("%s: %w", p.name, err)
+		}
+		fmt.Fprintln(progress, r)
+		results = append(results, r)
+	}
+	for name := range chosen {
+		return results, fmt.Errorf("%w: %s", ErrUnknownPicture, name)
+	}
+	return results, nil
+}
+
+// trial is one picture that is being played.
+type trial struct {
+	cfg       Config
+	dir       string
+	traffic   rig.Traffic
+	engine    *engine.Engine
+	address   *engine.Address
+	catalog   *catalog.Catalog
+	index     *index.Index // nil if runs make no index calls
+	listen    string
+	operators string
+	process   *rig.Process
+	result    *Result
+}
+
+func play(cfg Config, p picture) (*Result, error) {
+	tr := &trial{cfg: cfg, result: &Result{Picture: p.name, LimitKB: cfg.MemoryMB * bytesPerKB}}
+	defer tr.close()
+	if err := tr.start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(settledPeriod)
+	tr.result.IdleKB = tr.memoryKB()
+	load := tr.startUsualLoad()
+	sent := &sentBodies{left: map[string]time.Time{}}
+	var stop atomic.Bool
+	var written atomic.Int64
+	var clients sync.WaitGroup
+	for i := range p.clients {
+		c := &client{addr: tr.listen, request: tr.completeRequest(p.keyed, cfg.Seed, uint64(i)), random: rand.New(rand.NewPCG(cfg.Seed, uint64(i))), stop: &stop, written: &written, sent: sent}
+		clients.Go(func() { p.play(c) })
+	}
+	for end := time.Now().Add(cfg.Span); time.Now().Before(end); time.Sleep(sampleInterval) {
+		tr.result.MostKB = max(tr.result.MostKB, tr.memoryKB())
+		select {
+		case <-tr.process.Done():
+			tr.result.Ended = true
+			end = time.Now()
+		default:
+		}
+		if tr.result.MostKB > 8*tr.result.LimitKB { // the platform would have killed it long before
+			break
+		}
+	}
+	stop.Store(true)
+	load.Stop()
+	clients.Wait()
+	tr.result.Written, tr.result.Usual = written.Load(), load.Tally
+	if notes := load.Notes(); len(notes) > 0 {
+		tr.result.Notes = " first note: " + notes[0]
+	}
+	time.Sleep(settledPeriod)
+	tr.countRuns(sent, p.keyed)
+	tr.result.Read = tr.bytesRead()
+	return tr.result, nil
+}
+
+// completeRequest returns a function that sets the class, the tenant and the names of a request.
+func (tr *trial) completeRequest(keyed bool, seed, stream uint64) func(*message) {
+	random := rand.New(rand.NewPCG(seed, 1000+stream))
+	return func(m *message) {
+		m.fields["team"], m.fields["verb"] = tr.traffic.Tenant, tr.traffic.Safe
+		if keyed || tr.traffic.Safe == "" {
+			m.fields["verb"] = tr.traffic.Keyed[0].Name
+			m.fields["unique"] = fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64())
+		}
+	}
+}
+
+// startUsualLoad starts the usual routers.
+func (tr *trial) startUsualLoad() *rig.Load {
+	load := &rig.Load{Seed: tr.cfg.Seed, Traffic: tr.traffic, Timeout: usualTimeout, MeanInterval: usualInterval,
+		Excused: func(int, time.Time) bool { return false }, Engines: func() []*engine.Engine { return []*engine.Engine{tr.engine} }}
+	for range usualRouters {
+		load.Routers = append(load.Routers, &router.Router{Addr: tr.listen})
+	}
+	load.Start()
+	return load
+}
+
+// countRuns counts the runs of clients that had left.
+func (tr *trial) countRuns(sent *sentBodies, keyed bool) {
+	sent.mu.Lock()
+	defer sent.mu.Unlock()
+	for body, left := range sent.left {
+		runs := tr.engine.Runs(body)
+		if keyed && len(runs) > 1 {
+			tr.result.DoubleRuns++
+		}
+		for _, run := range runs {
+			if !left.IsZero() && run.At.After(left.Add(leaveSlack)) {
+				tr.result.RunsAfterLeave++
+			}
+		}
+	}
+}
+
+// start starts the fakes and the process, and waits until it accepts clients.
+func (tr *trial) start() (err error) {
+	if tr.dir, err = rig.TempDir(); err != nil {
+		return err
+	}
+	if tr.traffic, err = rig.ReadTraffic(tr.cfg.Site); err != nil {
+		return err
+	}
+	tr.engine = engine.New(func(string) time.Duration { return runTime })
+	if tr.address, err = tr.engine.Listen(); err != nil {
+		return err
+	}
+	if tr.catalog, err = catalog.Start(); err != nil {
+		return err
+	}
+	if tr.traffic.Calls {
+		tr.engine.SetIndexCalls(true)
+		if tr.index, err = index.Start(rig.IndexCallTime); err != nil {
+			return err
+		}
+	}
+	addrs, err := rig.FreeAddrs(2)
+	if err != nil {
+		return err
+	}
+	tr.listen, tr.operators = addrs[0], addrs[1]
+	path, err := tr.writeConfig()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(tr.cfg.Command[0], tr.cfg.Command[1:]...)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_CONTROL="+tr.operators, "TMPDIR="+tr.dir)
+	if tr.process, err = rig.Start(cmd, nil); err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(sampleInterval) {
+		if _, err = operator.Call(tr.operators, "check", time.Second); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("the process does not accept clients: %w: %s", err, tr.process.Output())
+}
+
+// writeConfig writes the process's configuration and returns its path.
+func (tr *trial) writeConfig() (path string, err error) {
+	raw, err := os.ReadFile(tr.cfg.Site)
+	if err != nil {
+		return "", err
+	}
+	var config map[string]any
+	if err := json.Unmarshal(raw, &config); err != nil {
+		return "", err
+	}
+	config["listen"], config["engine"], config["directory"] = tr.listen, tr.address.String(), tr.catalog.String()
+	if tr.index != nil {
+		config["index"] = tr.index.String()
+	}
+	config["limits"] = map[string]any{"cores": 1.0, "memory_mb": tr.cfg.MemoryMB, "sockets": sockets}
+	if raw, err = json.Marshal(config); err != nil {
+		return "", err
+	}
+	path = filepath.Join(tr.dir, "config.json")
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
+// close ends the process and the fakes.
+func (tr *trial) close() {
+	if tr.process != nil {
+		tr.process.Kill()
+	}
+	if tr.address != nil {
+		tr.address.Close()
+	}
+	if tr.catalog != nil {
+		tr.catalog.Close()
+	}
+	if tr.index != nil {
+		tr.index.Close()
+	}
+	os.RemoveAll(tr.dir)
+}
+
+// memoryKB returns the anonymous memory of the process, or 0 if it has ended.
+func (tr *trial) memoryKB() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", tr.process.Pid()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
+			kb, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kb
+		}
+	}
+	return 0
+}
+
+// bytesRead returns how many bytes the process has read from its connections, by its own count, or 0 if it does not answer.
+func (tr *trial) bytesRead() int64 {
+	if tr.result.Ended || tr.process.Signal(reportSignal) != nil {
+		return 0
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(sampleInterval) {
+		if _, counters, found := strings.Cut(tr.process.Output(), " bytes_in="); found {
+			n, _ := strconv.ParseInt(strings.Fields(counters)[0], 10, 64)
+			return n
+		}
+	}
+	return 0
+}
