Give up the calls of a client that has closed its connection

Callers saw: a client closed its connection with much unread, and its requests were run afterwards, at the expense of others.

Cause: input from before the close was processed all the same, and the open calls of an ended connection stayed in the replica's queue.

--- a/internal/decide/conns/calls.go
+++ b/internal/decide/conns/calls.go
@@ -1,6 +1,10 @@
 package conns
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // MaxAwaited is the limit on the calls of one connection that its peer waits for. A router waits for 32 at most; twice as many
 // are accepted because the message that gives a call up may arrive after the calls that take its place.
@@ -53,6 +57,17 @@
 	return call.ID, true
 }
 
+// GiveUpAll records that the peer waits for no call any more. It returns the ids of the attempts that it waited for, in the order of
+// their calls.
+func (c *Calls) GiveUpAll() (ids []string) {
+	for _, seq := range slices.Sorted(maps.Keys(c.unanswered)) {
+		if id, awaited := c.GiveUp(seq); awaited && id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Answered removes a call that was answered.
 func (c *Calls) Answered(seq int32) {
 	call, open := c.unanswered[seq]
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -240,7 +240,7 @@
 	return c
 }
 
-// remove unregisters a connection whose descriptor is about to be closed.
+// remove unregisters a connection that has ended, and gives up the calls that are open on it. Its goroutine calls it.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -251,7 +251,7 @@
 	default:
 	}
 	s.count.closed.Inc()
-	c.markClosed()
+	c.endCalls()
 	c.out.Close()
 }
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -272,9 +272,14 @@
 	return v
 }
 
-// markClosed records that the connection is closed; later answers are dropped.
-func (s *session) markClosed() {
+// endCalls records that the connection is closed, and tells the core that nobody waits for its calls any more. Later answers are
+// dropped.
+func (s *session) endCalls() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
+	gone := s.calls.GiveUpAll()
+	s.mu.Unlock()
+	for _, txn := range gone {
+		s.core.CallerGone(txn)
+	}
 }
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -307,7 +307,17 @@
 			"goaway": func(*rapid.T) { r.sendGoaway(); goawayRequests++ },
 			"end": func(rt *rapid.T) {
 				closed = rapid.IntRange(0, 30).Draw(rt, "end") == 0 || closed
-				markClosedIf(r, closed)
+				if !closed {
+					return
+				}
+				want := len(r.recorder.gone) + len(open) - len(givenUp)
+				r.endCalls()
+				for s := range open {
+					givenUp[s] = true
+				}
+				if len(r.recorder.gone) != want {
+					rt.Fatalf("%d calls are given up at the end, want %d", len(r.recorder.gone), want)
+				}
 			},
 			"wait": func(*rapid.T) { r.clock.Advance(time.Second) },
 			"": func(rt *rapid.T) {
@@ -347,12 +357,6 @@
 	})
 }
 
-func markClosedIf(r *testRouter, ended bool) {
-	if ended {
-		r.markClosed()
-	}
-}
-
 func FuzzFeed(f *testing.F) {
 	f.Add(callMessage("serve", 1, requestFields(), "body"))
 	f.Fuzz(func(t *testing.T, in []byte) {
--- a/internal/lab/misuse/clients.go
+++ b/internal/lab/misuse/clients.go
@@ -19,7 +19,8 @@
 	batchSize     = 200 // messages per write of a client that writes at full speed
 	longBody      = 4000
 	shortFields   = 250
-	slowWriteSize = 16 // bytes per write of a slow client
+	slowWriteSize = 16       // bytes per write of a slow client
+	writeBuffer   = 64 << 10 // of the client's kernel, so that what it has written was also taken by the process
 )
 
 // Intervals of a client's actions.
@@ -74,6 +75,7 @@
 		time.Sleep(reconnectInterval)
 		return nil
 	}
+	conn.(*net.TCPConn).SetWriteBuffer(writeBuffer)
 	return conn
 }
 
--- a/internal/lab/misuse/misuse.go
+++ b/internal/lab/misuse/misuse.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,23 +44,29 @@
 	clients int
 	keyed   bool // the clients send keyed requests
 	play    func(*client)
+	// processes is the number of processes that share one listening socket, as in a replacement; 0 stands for one process with a
+	// socket of its own.
+	processes int
 }
 
 var pictures = []picture{
-	{"unsound", 1, false, (*client).unsound},
-	{"new names", 1, false, (*client).newNames},
-	{"new keys", 1, true, (*client).newNames},
-	{"withdrawn", 1, false, (*client).withdrawn},
-	{"withdrawn keys", 1, true, (*client).withdrawn},
-	{"many fields", 1, false, (*client).manyFields},
-	{"slow", 400, false, (*client).writeSlowly},
-	{"half a request", 400, false, (*client).stopHalfWay},
-	{"many fields, crowd", 300, false, (*client).manyFields},
-	{"unsound, crowd", 300, false, (*client).unsound},
-	{"leaving", 2, false, (*client).leave},
-	{"leaving, keyed", 2, true, (*client).leave},
-	{"coming again", 4, false, (*client).comeAgain},
-	{"coming again, keyed", 4, true, (*client).comeAgain},
+	{name: "unsound", clients: 1, play: (*client).unsound},
+	{name: "new names", clients: 1, play: (*client).newNames},
+	{name: "new keys", clients: 1, keyed: true, play: (*client).newNames},
+	{name: "withdrawn", clients: 1, play: (*client).withdrawn},
+	{name: "withdrawn keys", clients: 1, keyed: true, play: (*client).withdrawn},
+	{name: "many fields", clients: 1, play: (*client).manyFields},
+	{name: "slow", clients: 400, play: (*client).writeSlowly},
+	{name: "half a request", clients: 400, play: (*client).stopHalfWay},
+	{name: "many fields crowd", clients: 300, play: (*client).manyFields},
+	{name: "unsound crowd", clients: 300, play: (*client).unsound},
+	{name: "leaving", clients: 2, play: (*client).leave},
+	{name: "leaving keyed", clients: 2, keyed: true, play: (*client).leave},
+	{name: "leaving keyed shared", clients: 2, keyed: true, play: (*client).leave, processes: 1},
+	{name: "coming again", clients: 4, play: (*client).comeAgain},
+	{name: "coming again keyed", clients: 4, keyed: true, play: (*client).comeAgain},
+	{name: "coming again upgrade", clients: 4, keyed: true, play: (*client).comeAgain, processes: 2},
+	{name: "new keys upgrade", clients: 1, keyed: true, play: (*client).newNames, processes: 2},
 }
 
 // reportSignal makes a process print its counters.
@@ -87,16 +94,16 @@
 
 // Result is the result of one picture.
 type Result struct {
-	Picture         string
-	IdleKB, MostKB  int   // anonymous memory before the clients began, and at the most
-	LimitKB         int   // memory_mb
-	Written         int64 // bytes that the clients wrote
-	Read            int64 // bytes that the process read from its connections
-	Usual           rig.Tally
-	RunsAfterLeave  int           // runs that began later than leaveSlack after their client had left
-	DoubleRuns      int           // keyed requests that ran more than once
-	Ended           bool          // the process ended by itself
-	Notes           string
+	Picture        string
+	IdleKB, MostKB int   // anonymous memory before the clients began, and at the most
+	LimitKB        int   // memory_mb
+	Written        int64 // bytes that the clients wrote
+	Read           int64 // bytes that the process read from its connections
+	Usual          rig.Tally
+	RunsAfterLeave int  // runs that began later than leaveSlack after their client had left
+	DoubleRuns     int  // keyed requests that ran more than once
+	Ended          bool // the process ended by itself
+	Notes          string
 }
 
 // FailedBounds returns the bounds that were not met.
@@ -159,19 +166,19 @@
 	dir       string
 	traffic   rig.Traffic
 	engine    *engine.Engine
-	address   *engine.Address
+	addresses []*engine.Address
 	catalog   *catalog.Catalog
 	index     *index.Index // nil if runs make no index calls
 	listen    string
-	operators string
-	process   *rig.Process
+	shared    *net.TCPListener // nil if the process has a socket of its own
+	processes []*rig.Process
 	result    *Result
 }
 
 func play(cfg Config, p picture) (*Result, error) {
 	tr := &trial{cfg: cfg, result: &Result{Picture: p.name, LimitKB: cfg.MemoryMB * bytesPerKB}}
 	defer tr.close()
-	if err := tr.start(); err != nil {
+	if err := tr.start(p.processes); err != nil {
 		return nil, err
 	}
 	time.Sleep(settledPeriod)
@@ -187,11 +194,8 @@
 	}
 	for end := time.Now().Add(cfg.Span); time.Now().Before(end); time.Sleep(sampleInterval) {
 		tr.result.MostKB = max(tr.result.MostKB, tr.memoryKB())
-		select {
-		case <-tr.process.Done():
-			tr.result.Ended = true
-			end = time.Now()
-		default:
+		if tr.result.Ended = tr.anyEnded(); tr.result.Ended {
+			break
 		}
 		if tr.result.MostKB > 8*tr.result.LimitKB { // the platform would have killed it long before
 			break
@@ -250,8 +254,8 @@
 	}
 }
 
-// start starts the fakes and the process, and waits until it accepts clients.
-func (tr *trial) start() (err error) {
+// start starts the fakes and the processes.
+func (tr *trial) start(processes int) (err error) {
 	if tr.dir, err = rig.TempDir(); err != nil {
 		return err
 	}
@@ -259,9 +263,6 @@
 		return err
 	}
 	tr.engine = engine.New(func(string) time.Duration { return runTime })
-	if tr.address, err = tr.engine.Listen(); err != nil {
-		return err
-	}
 	if tr.catalog, err = catalog.Start(); err != nil {
 		return err
 	}
@@ -271,26 +272,68 @@
 			return err
 		}
 	}
-	addrs, err := rig.FreeAddrs(2)
+	if tr.listen, err = rig.FreeAddr(); err != nil {
+		return err
+	}
+	if processes > 0 {
+		ln, err := net.Listen("tcp", tr.listen)
+		if err != nil {
+			return err
+		}
+		tr.shared = ln.(*net.TCPListener)
+	}
+	for range max(processes, 1) {
+		if err := tr.startProcess(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startProcess starts a process and waits until it accepts clients.
+func (tr *trial) startProcess() error {
+	operators, err := rig.FreeAddr()
 	if err != nil {
 		return err
 	}
-	tr.listen, tr.operators = addrs[0], addrs[1]
 	path, err := tr.writeConfig()
 	if err != nil {
 		return err
 	}
 	cmd := exec.Command(tr.cfg.Command[0], tr.cfg.Command[1:]...)
-	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_CONTROL="+tr.operators, "TMPDIR="+tr.dir)
-	if tr.process, err = rig.Start(cmd, nil); err != nil {
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_CONTROL="+operators, "TMPDIR="+tr.dir)
+	if tr.shared != nil {
+		f, err := tr.shared.File()
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		cmd.ExtraFiles = []*os.File{f}
+		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
+	}
+	process, err := rig.Start(cmd, nil)
+	if err != nil {
 		return err
 	}
+	tr.processes = append(tr.processes, process)
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(sampleInterval) {
-		if _, err = operator.Call(tr.operators, "check", time.Second); err == nil {
+		if _, err = operator.Call(operators, "check", time.Second); err == nil {
 			return nil
 		}
 	}
-	return fmt.Errorf("the process does not accept clients: %w: %s", err, tr.process.Output())
+	return fmt.Errorf("the process does not accept clients: %w: %s", err, process.Output())
+}
+
+// anyEnded reports whether a process has ended by itself.
+func (tr *trial) anyEnded() bool {
+	for _, p := range tr.processes {
+		select {
+		case <-p.Done():
+			return true
+		default:
+		}
+	}
+	return false
 }
 
 // writeConfig writes the process's configuration and returns its path.
@@ -303,7 +346,12 @@
 	if err := json.Unmarshal(raw, &config); err != nil {
 		return "", err
 	}
-	config["listen"], config["engine"], config["directory"] = tr.listen, tr.address.String(), tr.catalog.String()
+	address, err := tr.engine.Listen() // each process has one of its own
+	if err != nil {
+		return "", err
+	}
+	tr.addresses = append(tr.addresses, address)
+	config["listen"], config["engine"], config["directory"] = tr.listen, address.String(), tr.catalog.String()
 	if tr.index != nil {
 		config["index"] = tr.index.String()
 	}
@@ -311,17 +359,20 @@
 	if raw, err = json.Marshal(config); err != nil {
 		return "", err
 	}
-	path = filepath.Join(tr.dir, "config.json")
+	path = filepath.Join(tr.dir, fmt.Sprintf("config-%d.json", len(tr.addresses)))
 	return path, os.WriteFile(path, raw, 0o600)
 }
 
 // close ends the process and the fakes.
 func (tr *trial) close() {
-	if tr.process != nil {
-		tr.process.Kill()
+	for _, p := range tr.processes {
+		p.Kill()
+	}
+	for _, a := range tr.addresses {
+		a.Close()
 	}
-	if tr.address != nil {
-		tr.address.Close()
+	if tr.shared != nil {
+		tr.shared.Close()
 	}
 	if tr.catalog != nil {
 		tr.catalog.Close()
@@ -332,9 +383,17 @@
 	os.RemoveAll(tr.dir)
 }
 
-// memoryKB returns the anonymous memory of the process, or 0 if it has ended.
-func (tr *trial) memoryKB() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", tr.process.Pid()))
+// memoryKB returns the anonymous memory of all processes together.
+func (tr *trial) memoryKB() (sum int) {
+	for _, p := range tr.processes {
+		sum += anonymousKB(p.Pid())
+	}
+	return sum
+}
+
+// anonymousKB returns the anonymous memory of a process, or 0 if it has ended.
+func anonymousKB(pid int) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
@@ -347,13 +406,21 @@
 	return 0
 }
 
-// bytesRead returns how many bytes the process has read from its connections, by its own count, or 0 if it does not answer.
-func (tr *trial) bytesRead() int64 {
-	if tr.result.Ended || tr.process.Signal(reportSignal) != nil {
+// bytesRead returns how many bytes the processes have read from their connections, by their own count.
+func (tr *trial) bytesRead() (sum int64) {
+	for _, p := range tr.processes {
+		sum += countedBytes(p)
+	}
+	return sum
+}
+
+// countedBytes returns how many bytes a process has read from its connections, or 0 if it does not say.
+func countedBytes(p *rig.Process) int64 {
+	if p.Signal(reportSignal) != nil {
 		return 0
 	}
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(sampleInterval) {
-		if _, counters, found := strings.Cut(tr.process.Output(), " bytes_in="); found {
+		if _, counters, found := strings.Cut(p.Output(), " bytes_in="); found {
 			n, _ := strconv.ParseInt(strings.Fields(counters)[0], 10, 64)
 			return n
 		}
