Give up keyed attempts of callers that have left while no other process is there

Cause: a process that may be replaced left keyed attempts in its queue at every notice that their caller had gone, whether or not another process was there to ask for their keys.

Change: it does so only while there is a link to another process, or it follows one.

--- a/internal/replica/gone_test.go
+++ b/internal/replica/gone_test.go
@@ -75,3 +75,35 @@
 		t.Errorf("%d attempts stay; %s", len(b.live), strings.Join(b.violations, "; "))
 	}
 }
+
+// TestQueuedKeyedAttemptEndsWhenItsCallerIsGone guards against saves that run for callers that have left: a process that may be
+// replaced left them in its queue although no other process was there.
+func TestQueuedKeyedAttemptEndsWhenItsCallerIsGone(t *testing.T) {
+	alone := newPeerHarness(t, newHarness(t), true)
+	linked := newPair(t)
+	linked.settle()
+	for name, play := range map[string]struct {
+		harness *harness
+		ends    bool
+	}{"alone": {alone, true}, "linked to another process": {linked.old, false}} {
+		t.Run(name, func(t *testing.T) {
+			b := play.harness
+			var running []*attempt
+			for n := 0; len(b.runs) == len(running); n++ { // fill the process, until one attempt waits
+				running = append(running, b.arrive("running "+string(rune('a'+n)), 0, 3*time.Second))
+			}
+			waiting := running[len(running)-1]
+			b.CallerGone(waiting.txn)
+			if ended := b.txns[waiting.txn] == nil; ended != play.ends {
+				t.Errorf("the attempt has ended: %v, want %v", ended, play.ends)
+			}
+			b.end(running[0].txn, policy.Succeeded)
+			if ran := len(b.runs) == len(running); ran == play.ends {
+				t.Errorf("the attempt was run: %v", ran)
+			}
+			if len(b.violations) > 0 {
+				t.Error(strings.Join(b.violations, "; "))
+			}
+		})
+	}
+}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -30,6 +30,9 @@
 	return peerState{enabled: possible, waiting: map[string][]*request{}}
 }
 
+// alone reports whether there is no other process that may know a key or wait for one.
+func (s *peerState) alone() bool { return s.peer == nil && s.claims.Role() == handover.Owner }
+
 func (r *Replica) sendToPeer(m *handover.Message) {
 	if p := r.peerState.peer; p != nil {
 		p.Send(m)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -461,11 +461,11 @@
 // CallerGone handles the notice that the caller of an attempt has stopped waiting: it needs no answer any more, and
 // what has not started need not run. The module is informed. An attempt that does not run is answered at once: the answer
 // does no harm, and the attempt occupies neither memory nor its connection until somebody else's run ends. Keyed
-// attempts are left as they are while the peer process may be asked for their key.
+// attempts are left as they are while there may be another process that is asked for their key or waits for it.
 func (r *Replica) CallerGone(txn string) {
 	r.locked(func(now time.Duration) {
 		req := r.txns[txn]
-		if req == nil || req.answered || (r.peerState.enabled && req.class.Semantics == policy.Keyed) {
+		if req == nil || req.answered || (!r.peerState.alone() && req.class.Semantics == policy.Keyed) {
 			return
 		}
 		r.count.callersGone.Inc()
