Hold no more for a connection than its open frame and unsent answers

Callers saw: crowds of clients brought a process over its memory limit.

Cause: input read ahead, and for each connection the buffer of its largest input (some 24 KB) and of its last answers (up to 16 KB).

Change: an incomplete frame is held in a buffer of its size, and buffers for answers come from a pool that all connections share.

--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -88,6 +88,7 @@
 			Seed    uint64        `default:"1" help:"Draws load and clients."`
 			Sites   []string      `default:"examples/config.json,examples/images/config.json" help:"The settings to play with, one after the other."`
 			Memory  int           `default:"32" help:"The process's memory_mb."`
+			Crowd   int           `default:"400" help:"Clients of a crowd."`
 			Span    time.Duration `default:"5s" help:"How long each picture lasts."`
 			Picture []string      `help:"Play these pictures only."`
 			Command []string      `default:"bin/cairnlane" help:"Starts a replica."`
@@ -475,7 +476,7 @@
 	played := 0
 	for _, site := range t.Sites {
 		fmt.Fprintln(w, site)
-		results, err := misuse.Run(misuse.Config{Seed: t.Seed, Command: t.Command, Site: site, MemoryMB: t.Memory, Span: t.Span, Pictures: t.Picture}, w)
+		results, err := misuse.Run(misuse.Config{Seed: t.Seed, Command: t.Command, Site: site, MemoryMB: t.Memory, Crowd: t.Crowd, Span: t.Span, Pictures: t.Picture}, w)
 		if err != nil {
 			return err
 		}
--- a/internal/front/backpressure_test.go
+++ b/internal/front/backpressure_test.go
@@ -45,3 +45,24 @@
 		t.Errorf("another client receives %+v, %v", h, ok)
 	}
 }
+
+// TestIncompleteFrameHoldsNoMoreThanItself guards against memory that grows with the number of connections: each kept the buffer of its
+// largest input for as long as it ended in the middle of a frame.
+func TestIncompleteFrameHoldsNoMoreThanItself(t *testing.T) {
+	const many, rest = 80, 100
+	r := newTestRouter()
+	input := calls(1, many)
+	partial := callMessage("serve", many+1, requestFields(), "body")[:rest]
+	half := len(input)/2 + 1 // in the middle of a frame
+	for _, p := range [][]byte{input[:half], append(input[half:], partial...)} {
+		if err := r.feed(p); err != nil {
+			t.Fatal(err)
+		}
+		if n, held := len(r.buffered), cap(r.buffered); held > 2*n+rest {
+			t.Errorf("%d bytes are held for an incomplete frame of %d bytes", held, n)
+		}
+	}
+	if len(r.buffered) != rest {
+		t.Errorf("an incomplete frame of %d bytes is held, want %d", len(r.buffered), rest)
+	}
+}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"fmt"
 	"sync"
 	"time"
@@ -73,10 +74,8 @@
 		}
 		buf = rest
 	}
-	if len(buf) == 0 {
-		s.buffered = nil // most connections are idle at any time and need no buffer
-	} else {
-		s.buffered = append(s.buffered[:0], buf...)
+	if len(buf) != len(s.buffered) {
+		s.buffered = bytes.Clone(buf) // no more than the rest, as a connection may hold it for long; nil if there is none
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/lab/misuse/misuse.go
+++ b/internal/lab/misuse/misuse.go
@@ -34,6 +34,7 @@
 	Command  []string // starts a replica
 	Site     string   // path of the settings, as in examples/config.json
 	MemoryMB int      // memory_mb of the process
+	Crowd    int      // clients of a crowd
 	Span     time.Duration
 	Pictures []string // names of the pictures to play; empty: all
 }
@@ -42,6 +43,7 @@
 type picture struct {
 	name    string
 	clients int
+	crowd   bool // as many clients as Config.Crowd
 	keyed   bool // the clients send keyed requests
 	play    func(*client)
 	// processes is the number of processes that share one listening socket, as in a replacement; 0 stands for one process with a
@@ -56,10 +58,10 @@
 	{name: "withdrawn", clients: 1, play: (*client).withdrawn},
 	{name: "withdrawn keys", clients: 1, keyed: true, play: (*client).withdrawn},
 	{name: "many fields", clients: 1, play: (*client).manyFields},
-	{name: "slow", clients: 400, play: (*client).writeSlowly},
-	{name: "half a request", clients: 400, play: (*client).stopHalfWay},
-	{name: "many fields crowd", clients: 300, play: (*client).manyFields},
-	{name: "unsound crowd", clients: 300, play: (*client).unsound},
+	{name: "slow", crowd: true, play: (*client).writeSlowly},
+	{name: "half a request", crowd: true, play: (*client).stopHalfWay},
+	{name: "many fields crowd", crowd: true, play: (*client).manyFields},
+	{name: "unsound crowd", crowd: true, play: (*client).unsound},
 	{name: "leaving", clients: 2, play: (*client).leave},
 	{name: "leaving keyed", clients: 2, keyed: true, play: (*client).leave},
 	{name: "leaving keyed shared", clients: 2, keyed: true, play: (*client).leave, processes: 1},
@@ -100,9 +102,10 @@
 	Written        int64 // bytes that the clients wrote
 	Read           int64 // bytes that the process read from its connections
 	Usual          rig.Tally
-	RunsAfterLeave int  // runs that began later than leaveSlack after their client had left
-	DoubleRuns     int  // keyed requests that ran more than once
-	Ended          bool // the process ended by itself
+	RunsAfterLeave int    // runs that began later than leaveSlack after their client had left
+	DoubleRuns     int    // keyed requests that ran more than once
+	Ended          bool   // the process ended by itself
+	Closed         string // reasons for which the processes closed connections, with their numbers
 	Notes          string
 }
 
@@ -128,9 +131,9 @@
 
 // String returns the result as one line.
 func (r *Result) String() string {
-	return fmt.Sprintf("%-20s memory_kb=%d..%d of %d written_mb=%.1f read_mb=%.1f usual=%d served=%d refused=%d failed=%d lost=%d late=%d not_accepted=%d runs_after_leave=%d double_runs=%d%s",
+	return fmt.Sprintf("%-20s memory_kb=%d..%d of %d written_mb=%.1f read_mb=%.1f usual=%d served=%d refused=%d failed=%d lost=%d late=%d not_accepted=%d runs_after_leave=%d double_runs=%d closed=[%s]%s",
 		r.Picture, r.IdleKB, r.MostKB, r.LimitKB, float64(r.Written)/bytesPerMB, float64(r.Read)/bytesPerMB, r.Usual.Requests, r.Usual.Served, r.Usual.Rejected, r.Usual.Failed, r.Usual.Lost,
-		r.Usual.Late, r.Usual.ConnectionRefused, r.RunsAfterLeave, r.DoubleRuns, r.Notes)
+		r.Usual.Late, r.Usual.ConnectionRefused, r.RunsAfterLeave, r.DoubleRuns, strings.TrimSpace(r.Closed), r.Notes)
 }
 
 // ErrUnknownPicture is returned for a picture that does not exist.
@@ -188,7 +191,11 @@
 	var stop atomic.Bool
 	var written atomic.Int64
 	var clients sync.WaitGroup
-	for i := range p.clients {
+	count := p.clients
+	if p.crowd {
+		count = cfg.Crowd
+	}
+	for i := range count {
 		c := &client{addr: tr.listen, request: tr.completeRequest(p.keyed, cfg.Seed, uint64(i)), random: rand.New(rand.NewPCG(cfg.Seed, uint64(i))), stop: &stop, written: &written, sent: sent}
 		clients.Go(func() { p.play(c) })
 	}
@@ -210,7 +217,7 @@
 	}
 	time.Sleep(settledPeriod)
 	tr.countRuns(sent, p.keyed)
-	tr.result.Read = tr.bytesRead()
+	tr.readCounters()
 	return tr.result, nil
 }
 
@@ -406,24 +413,39 @@
 	return 0
 }
 
-// bytesRead returns how many bytes the processes have read from their connections, by their own count.
-func (tr *trial) bytesRead() (sum int64) {
+// readCounters sets what the processes say of their connections: the bytes that they have read, and why they ended connections.
+func (tr *trial) readCounters() {
 	for _, p := range tr.processes {
-		sum += countedBytes(p)
+		for name, n := range counters(p) {
+			reason, ended := strings.CutPrefix(name, "connections_ended_")
+			switch {
+			case name == "bytes_in":
+				tr.result.Read += n
+			case ended && n > 0:
+				tr.result.Closed += fmt.Sprintf(" %s=%d", reason, n)
+			}
+		}
 	}
-	return sum
 }
 
-// countedBytes returns how many bytes a process has read from its connections, or 0 if it does not say.
-func countedBytes(p *rig.Process) int64 {
+// counters returns the counters that a process prints when it is asked to, or none if it does not answer.
+func counters(p *rig.Process) map[string]int64 {
+	values := map[string]int64{}
 	if p.Signal(reportSignal) != nil {
-		return 0
+		return values
 	}
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(sampleInterval) {
-		if _, counters, found := strings.Cut(p.Output(), " bytes_in="); found {
-			n, _ := strconv.ParseInt(strings.Fields(counters)[0], 10, 64)
-			return n
+		_, printed, found := strings.Cut(p.Output(), "counters: ")
+		if !found {
+			continue
+		}
+		for _, word := range strings.Fields(printed) {
+			name, value, _ := strings.Cut(word, "=")
+			if n, err := strconv.ParseInt(strings.TrimRight(value, "\"}"), 10, 64); err == nil {
+				values[name] = n
+			}
 		}
+		break
 	}
-	return 0
+	return values
 }
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -26,9 +26,12 @@
 // Size returns the number of unsent bytes.
 func (l *SharedLimit) Size() int { return int(l.size.Load()) }
 
-// maxSpare is the capacity of the largest buffer that is kept for the next batch.
+// maxSpare is the capacity of the largest buffer that is kept for another batch.
 const maxSpare = 16 << 10
 
+// spares holds buffers for the next batches of any connection, so that a connection without output holds none.
+var spares = sync.Pool{New: func() any { return new([]byte) }}
+
 // Buffer is a bounded output buffer in front of a blocking writer.
 type Buffer struct {
 	sink   io.Writer
@@ -39,8 +42,8 @@
 	mu       sync.Mutex
 	wake     sync.Cond
 	buffered []byte
-	spare    []byte
-	writing  int // bytes in the current write
+	spare    *[]byte // the element of spares that buffered was taken from; nil while buffered is
+	writing  int     // bytes in the current write
 	closed   bool
 }
 
@@ -64,6 +67,10 @@
 	case !limits.Allows(size, b.limit.Size()):
 		return ErrFull
 	}
+	if b.spare == nil {
+		b.spare = spares.Get().(*[]byte)
+		b.buffered = (*b.spare)[:0]
+	}
 	before := len(b.buffered)
 	b.buffered = encode(b.buffered)
 	b.limit.size.Add(int64(len(b.buffered) - before))
@@ -74,7 +81,7 @@
 // drop discards the buffered output and closes the buffer; b.mu is held.
 func (b *Buffer) drop() {
 	b.limit.size.Add(-int64(len(b.buffered)))
-	b.closed, b.buffered = true, nil
+	b.closed, b.buffered, b.spare = true, nil, nil
 }
 
 // Empty reports whether all output has been written.
@@ -102,19 +109,20 @@
 		if b.closed {
 			return
 		}
-		batch := b.buffered
-		b.buffered, b.writing = b.spare[:0], len(batch)
+		batch, spare := b.buffered, b.spare
+		b.buffered, b.spare, b.writing = nil, nil, len(batch)
 		b.mu.Unlock()
 		_, err := b.sink.Write(batch)
 		if err != nil {
 			b.failed(err)
 		}
 		b.mu.Lock()
-		if cap(batch) > maxSpare { // do not keep the buffer of a burst for the connection's lifetime
-			batch = nil
+		if cap(batch) <= maxSpare {
+			*spare = batch
+			spares.Put(spare)
 		}
 		b.limit.size.Add(-int64(b.writing))
-		b.spare, b.writing = batch, 0
+		b.writing = 0
 		if err != nil {
 			b.drop()
 		}
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -151,3 +151,23 @@
 		}
 	}
 }
+
+// TestBufferWithoutOutputHoldsNoMemory guards against memory that grows with the number of connections: each kept the buffer of
+// its last batches for its lifetime.
+func TestBufferWithoutOutputHoldsNoMemory(t *testing.T) {
+	g := &blockingSink{make(chan []byte), make(chan error)}
+	b := New(g, 1<<20, new(SharedLimit), func(error) {})
+	defer b.Close()
+	for range 3 { // the second and third writes begin when the one before has ended
+		if err := b.Put(func(dst []byte) []byte { return append(dst, make([]byte, maxSpare/2)...) }); err != nil {
+			t.Fatal(err)
+		}
+		<-g.entered
+		b.mu.Lock()
+		if held := cap(b.buffered); held > 0 {
+			t.Errorf("%d bytes are held without output", held)
+		}
+		b.mu.Unlock()
+		g.result <- nil
+	}
+}
