--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -107,6 +107,7 @@
 func (n peerEvents) MessageReceived(m *handover.Message) {
 	switch m.Kind {
 	case handover.Synced:
+		n.Replica.ReceiveFromPeer(m)
 		n.handleEvent(lifecycle.StateReceived)
 		n.mu.Lock()
 		announced := n.machine.Announced()
--- a/internal/decide/handover/message.go
+++ b/internal/decide/handover/message.go
@@ -33,14 +33,14 @@
 	Key        string
 	Seq        uint64 // number of a claim; in a Drop from the guest, of the claim that is returned
 	Digest     Digest
-	Until      time.Duration // Unix time: attempts that arrived on the machine before it belong to the same request
+	Until      time.Duration // Unix time: attempts that arrived on the machine before it belong to the same request; Synced: Doubt.Until
 	Ended      bool          // the run has ended
-	OK         bool          // the run has a result; in Drain: the drain is on
+	OK         bool          // the run has a result; in Drain: the drain is on; in Claim: Attempt.First
 	Stored     bool          // the result is in Body
 	Body       []byte
 	RetryAfter time.Duration // Drop: the retry-after delay in the rejection of the attempt
 	DoNotRetry bool          // Drop: that rejection asks the caller not to try elsewhere
-	Number     int64         // Hello: the version. Claim: when the attempt arrived on the machine, in Unix nanoseconds. Share: descriptors
+	Number     int64         // Hello: the version. Claim: when the attempt arrived on the machine, in Unix nanoseconds. Share: descriptors. Synced: Doubt.FirstFrom, in Unix nanoseconds
 }
 
 // Valid reports whether k is a known message type.
--- a/internal/replica/peer_test.go
+++ b/internal/replica/peer_test.go
@@ -380,3 +380,69 @@
 		t.Errorf("%d requests are live, violations %v", len(p.new.live), p.violations())
 	}
 }
+
+// TestDoubtIsHandedOn guards against a save that runs twice (review/6): it ran in a process that was killed before its successor had
+// heard of it. The successor failed further attempts, and its own successor ran them.
+func TestDoubtIsHandedOn(t *testing.T) {
+	p := newPair(t)
+	p.settle()
+	p.cut()
+	first := p.old.arrive("k", 0, time.Second)
+	p.old.end(first.txn, policy.Succeeded)
+	p.killOld()
+	p.new.arrive("k", 0, time.Second).want(t, Failed, "")
+	second := p.new
+	p.old = second
+	p.start(t)
+	early := p.new.arrive("k", 0, time.Second) // before the state is received
+	p.settle()
+	early.want(t, Failed, "")
+	p.new.arrive("k", 0, time.Second).want(t, Failed, "")
+	p.killOld()
+	p.new.arrive("k", 0, time.Second).want(t, Failed, "")
+	if n := len(second.runs) + len(p.new.runs); n != 0 {
+		t.Errorf("%d further runs of a save that has run", n)
+	}
+	p.new.clock.Advance(window + 10*time.Second) // no attempt of the save arrives any more
+	late := p.new.arrive("k", 0, time.Second)
+	p.new.end(late.txn, policy.Succeeded)
+	late.want(t, Served, "result of "+late.txn)
+	if len(p.violations()) > 0 {
+		t.Error(p.violations())
+	}
+}
+
+// TestFirstAttemptsAreNotInDoubt checks that a process in doubt, and its successor, run a save that is new, if callers mark further
+// attempts: only those, and attempts from the time of the process that was killed, may have run in it.
+func TestFirstAttemptsAreNotInDoubt(t *testing.T) {
+	marked := func(c *policy.Config) { c.RetriesMarked = true }
+	old := newHarnessWith(t, &harness{clock: testkit.NewClock(), attempts: map[string]*attempt{}}, Config{Replaceable: true}, marked)
+	old.PredecessorEnded(false)
+	arrive := func(b *harness, key string, further bool) *attempt {
+		x := &attempt{harness: b, txn: fmt.Sprintf("%016x", len(b.attempts)+1), idempotencyKey: key, arrivedAt: b.clock.Now(), deadline: b.clock.Now() + time.Second}
+		b.attempts[x.txn] = x
+		if err := b.Arrive(Request{Txn: x.txn, Class: "save", Body: []byte("body of " + key), KB: 10, ArrivedAt: b.clock.Time(), WaitLimit: time.Second,
+			IdempotencyKey: key, Retry: further, Reply: x}); err != nil {
+			t.Fatal(err)
+		}
+		return x
+	}
+	arrive(old, "crossing", false).want(t, Failed, "") // it may be sent again unmarked, as it crossed the end of its connection
+	old.clock.Advance(keyMargin)
+	arrive(old, "further", true).want(t, Failed, "")
+	p := &pair{old: old}
+	p.new = newHarnessWith(t, old, Config{Replaceable: true}, marked)
+	p.new.FollowPredecessor()
+	p.link()
+	p.settle()
+	arrive(p.new, "further", true).want(t, Failed, "")
+	for _, b := range []*harness{p.old, p.new} {
+		first := arrive(b, fmt.Sprint("first at ", b == p.new), false)
+		p.settle()
+		b.end(first.txn, policy.Succeeded)
+		first.want(t, Served, "result of "+first.txn)
+	}
+	if len(p.violations()) > 0 {
+		t.Error(p.violations())
+	}
+}
