Read operators' connections only as fast as they are processed

Change: the admin listener uses the standard library. A caller that sends more than 64 KiB after its call is closed.

Evidence: TestFloodingCallerIsNotReadAhead failed before (all 32 MB taken) and passes now.

--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
-
 	"cairnlane/internal/assert"
 	"cairnlane/internal/counters"
 )
@@ -20,42 +20,44 @@
 	MaxConnections = 16
 	// connectionTimeout bounds the lifetime of a connection, answered or not. Callers need milliseconds.
 	connectionTimeout = 10 * time.Second
+	// writeTimeout bounds the write of an answer, for which the send buffer of a new connection has room.
+	writeTimeout = time.Second
+	// acceptRetryDelay is the wait after a failed accept, for example without a free descriptor.
+	acceptRetryDelay = 5 * time.Millisecond
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 256
+	// maxDiscard bounds the input that is read and dropped after a call, so that the caller can read the whole answer.
+	maxDiscard = 64 << 10
 )
 
-// Listener is the admin listener: it serves operators' calls at an address of its own.
+// Listener is the admin listener: it serves operators' calls at an address of its own. Each connection has a goroutine that reads
+// no faster than it processes, so callers that send at full speed wait.
 type Listener struct {
 	replica Replica
 	now     func() time.Duration
-	ln      netpoll.Listener
-	loop    netpoll.EventLoop
+	ln      net.Listener
 	count   struct{ calls, rejected, evicted, timedOut *counters.Counter }
 
 	mu      sync.Mutex
 	callers []*caller // oldest first
+	closed  bool
 }
 
 // caller is one connection.
 type caller struct {
-	netpoll.Connection
-	session    session
+	net.Conn
 	acceptedAt time.Duration
 }
 
-type callerKey struct{}
-
 // Listen opens the admin listener at addr.
 func Listen(addr string, r Replica, now func() time.Duration, set *counters.Set) (*Listener, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators at %q (control): %w", addr, err)
 	}
 	l := &Listener{replica: r, now: now, ln: ln}
 	l.count.calls, l.count.rejected = set.Get("operator_calls"), set.Get("operator_calls_refused")
 	l.count.evicted, l.count.timedOut = set.Get("operator_callers_evicted"), set.Get("operator_callers_late")
-	if l.loop, err = netpoll.NewEventLoop(l.read, netpoll.WithOnPrepare(l.prepare)); err != nil {
-		ln.Close()
-		return nil, fmt.Errorf("listen for operators: %w", err)
-	}
 	return l, nil
 }
 
@@ -63,79 +65,86 @@
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
 // Serve accepts connections until Close.
-func (l *Listener) Serve() error { return l.loop.Serve(l.ln) }
+func (l *Listener) Serve() error {
+	for {
+		conn, err := l.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if c := l.add(conn); c != nil {
+			go l.serve(c)
+		}
+	}
+}
 
-// prepare registers a connection; the poller calls it.
-func (l *Listener) prepare(nc netpoll.Connection) context.Context {
-	c := &caller{Connection: nc, acceptedAt: l.now()}
+// add registers a connection, and closes the oldest one if there are too many. It returns nil once the listener is closed.
+func (l *Listener) add(conn net.Conn) *caller {
+	c := &caller{Conn: conn, acceptedAt: l.now()}
 	l.mu.Lock()
-	var oldest *caller
-	if len(l.callers) >= MaxConnections {
-		oldest = l.callers[0]
-		l.remove(oldest)
+	defer l.mu.Unlock()
+	if l.closed {
+		conn.Close()
+		return nil
 	}
-	l.callers = append(l.callers, c)
-	l.mu.Unlock()
-	if oldest != nil {
+	if len(l.callers) >= MaxConnections {
+		oldest := l.callers[0]
+		l.callers = l.callers[1:]
 		l.count.evicted.Inc()
 		oldest.Close()
 	}
-	nc.AddCloseCallback(func(netpoll.Connection) error {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.remove(c)
-		return nil
-	})
-	return context.WithValue(context.Background(), callerKey{}, c)
+	l.callers = append(l.callers, c)
+	return c
 }
 
-// remove removes a connection from the list; l.mu is held.
+// remove removes a connection from the list.
 func (l *Listener) remove(c *caller) {
-	for i, o := range l.callers {
-		if o == c {
-			l.callers = append(l.callers[:i], l.callers[i+1:]...)
-			return
-		}
-	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.callers = slices.DeleteFunc(l.callers, func(o *caller) bool { return o == c })
 }
 
-// read is netpoll's callback for new input on a connection.
-func (l *Listener) read(ctx context.Context, nc netpoll.Connection) error {
-	c := ctx.Value(callerKey{}).(*caller)
+// serve answers the call on a connection, and reads the connection to its end, so that the close does not discard the answer.
+func (l *Listener) serve(c *caller) {
+	defer c.Close()
+	defer l.remove(c)
 	defer func() {
 		if p := recover(); p != nil {
 			assert.CountPanic("the admin listener", p)
-			nc.Close()
 		}
 	}()
-	r := nc.Reader()
-	p, err := r.Next(r.Len())
+	answer, err := l.readCall(c)
 	if err != nil {
-		return err
+		return
 	}
-	if a := c.session.feed(p, l.replica); a != nil {
-		l.count.calls.Inc()
-		if a[0] == 'N' {
-			l.count.rejected.Inc()
-		}
-		reply(nc, a)
+	l.count.calls.Inc()
+	if answer[0] == 'N' {
+		l.count.rejected.Inc()
 	}
-	return r.Release()
-}
-
-// reply writes an answer, for which the send buffer of a new connection has room, and shuts down the write side, so
-// that a caller that reads to the end has the whole answer. It writes to the descriptor, which netpoll keeps open
-// during the callback: netpoll's own writer fails if the caller has shut down its write side after the call.
-func reply(nc netpoll.Connection, a []byte) {
-	f, ok := nc.(interface{ Fd() int })
-	if !ok {
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.Write(answer); err != nil {
 		return
 	}
-	if n, err := unix.Write(f.Fd(), a); err != nil || n < len(a) {
-		nc.Close()
-		return
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // a caller that reads to the end has the whole answer; it may be gone
+	}
+	_, _ = io.CopyN(io.Discard, c, maxDiscard)
+}
+
+// readCall reads until the call is complete and returns its answer.
+func (l *Listener) readCall(c *caller) (answer []byte, err error) {
+	var s session
+	buf := make([]byte, readBuffer)
+	for answer == nil {
+		n, err := c.Read(buf)
+		if answer = s.feed(buf[:n], l.replica); answer == nil && err != nil {
+			return nil, err
+		}
 	}
-	_ = syscall.Shutdown(f.Fd(), syscall.SHUT_WR) // the caller may be gone
+	return answer, nil
 }
 
 // Sweep closes the connections that exceed their lifetime, until ctx is done.
@@ -168,7 +177,11 @@
 
 // Close closes the listener and all connections.
 func (l *Listener) Close() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = l.loop.Shutdown(ctx)
+	l.ln.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, c := range l.callers {
+		c.Close()
+	}
 }
--- a/internal/operator/listener_test.go
+++ b/internal/operator/listener_test.go
@@ -144,3 +144,27 @@
 		t.Error("a metric without an integer value is accepted")
 	}
 }
+
+// TestFloodingCallerIsNotReadAhead guards against memory that grows with what callers write: input after the call was read without a
+// bound.
+func TestFloodingCallerIsNotReadAhead(t *testing.T) {
+	const total, bound = 32 << 20, 4 << 20
+	d, _, _ := startListener(t)
+	c := dial(t, d)
+	if err := c.(*net.TCPConn).SetWriteBuffer(maxDiscard); err != nil {
+		t.Fatal(err)
+	}
+	written := 0
+	var err error
+	for written < total && err == nil {
+		var n int
+		n, err = c.Write(make([]byte, maxDiscard))
+		written += n
+	}
+	if err == nil || written > bound {
+		t.Errorf("%d bytes of one caller were taken, want at most %d (%v)", written, bound, err)
+	}
+	if got := call(t, dial(t, d), "check\n", false); got != "ACK\n" {
+		t.Errorf("another caller gets %q", got)
+	}
+}
