--- a/internal/front/backpressure_test.go
+++ b/internal/front/backpressure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"testing"
@@ -66,3 +67,44 @@
 		t.Errorf("an incomplete frame of %d bytes is held, want %d", len(r.buffered), rest)
 	}
 }
+
+// TestConnectionsTakeTurns guards against routers that get no answers beside clients that send at full speed (review/8): with one
+// connection processed at a time, a request is reached after a few turns of the others, however much they have written.
+func TestConnectionsTakeTurns(t *testing.T) {
+	const flooding, rounds = 10, 3
+	st := newControlledServer(t, 100)
+	router := st.dialUsed(t)
+	st.holdReading()
+	for range flooding {
+		client := st.dial(t)
+		go func() { // until the connection is closed
+			for seq := int32(1); ; seq++ {
+				if _, err := client.Write(callMessage("isWell", seq, nil, "")); err != nil {
+					return
+				}
+			}
+		}()
+		go io.Copy(io.Discard, client)
+	}
+	eventually(t, "unread input on all connections", func() bool {
+		waiting := 0
+		for _, c := range st.openConnections() {
+			if kernel, _ := c.transport.input(); kernel > maxFeed {
+				waiting++
+			}
+		}
+		return waiting == flooding
+	})
+	router.Write(callMessage("serve", 2, requestFields(), "body"))
+	before := st.count.bytesIn.Load()
+	st.readBuffers <- st.held[0] // one connection at a time
+	st.held = st.held[1:]
+	<-st.core.arrived
+	if read := st.count.bytesIn.Load() - before; read > rounds*(flooding+1)*maxFeed {
+		t.Errorf("%d bytes were processed before the router's request, want at most %d rounds of %d", read, rounds, (flooding+1)*maxFeed)
+	}
+	st.core.answerAll()
+	if h, ok := receive(t, router); !ok || h.Seq != 2 {
+		t.Errorf("answer %+v, received %v", h, ok)
+	}
+}
