Tests of the front wait until a connection is quiet before it is to be evicted

Cause, traced: the answer reaches the client before the goroutine of its connection has left its last steps. Until then the connection is in use and not evicted, and with a full table the newcomer is turned away, as it may be.

What the tests check is unchanged.

--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -152,18 +152,20 @@
 	if _, ok := receive(t, c); !ok {
 		t.Fatal("no answer to a health check")
 	}
-	st.waitAcked()
+	st.waitQuiet()
 	return c
 }
 
-// waitAcked waits until all output has been acknowledged, which may take a kernel 40 ms.
-func (s *Server) waitAcked() {
+// waitQuiet waits until all output has been acknowledged, which may take a kernel 40 ms, and until no connection is still in the
+// last steps of processing its input: until then it is not evicted.
+func (s *Server) waitQuiet() {
 	for pending := true; pending; {
 		pending = false
 		s.mu.Lock()
 		for c := range s.conns {
 			c.mu.Lock()
-			pending = pending || !c.closed && (!c.out.Empty() || c.transport.unacked() > 0)
+			_, unprocessed := c.transport.input()
+			pending = pending || !c.closed && (!c.out.Empty() || c.transport.unacked() > 0 || c.feeding || unprocessed > 0)
 			c.mu.Unlock()
 		}
 		s.mu.Unlock()
@@ -311,7 +313,7 @@
 	if h, ok := receive(t, c); !ok || h.Seq != 1 {
 		t.Fatalf("answer %+v, received %v", h, ok)
 	}
-	st.waitAcked()
+	st.waitQuiet()
 	for st.Connections() > 0 {
 		st.sweep(false)
 		if st.clock.Now() > testkit.StartTime+3*time.Second {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -125,7 +125,7 @@
 	c := dial(t, s)
 	c.Write(callMessage("isWell", 1, nil, ""))
 	receive(t, c)
-	s.waitAcked()
+	s.waitQuiet()
 	clock.Advance(time.Minute)
 	s.sweep(false)
 	if n := s.Connections(); n != 1 {
--- a/internal/front/tls_test.go
+++ b/internal/front/tls_test.go
@@ -162,7 +162,7 @@
 	}
 	busy.Write(callMessage("serve", 2, requestFields(), "body"))
 	<-s.core.arrived
-	s.waitAcked()
+	s.waitQuiet()
 	s.clock.Advance(500 * time.Millisecond)
 	plain := s.dialUsed(t) // evicts the idle connection, not the busy one
 	if !connectionEnded(idle) || s.count.ended[conns.Evicted].Load() != 1 {
