--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 KNOWN_RED := $(shell sed -n 's/^test \([A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build trial test lint run regression fuzz year replace leases audit auditcost overload overload-long overload-days overload-scale overloadcost takeover crowd fleetsim fleetscale mutants figures
+.PHONY: misuse build trial test lint run regression fuzz year replace leases audit auditcost overload overload-long overload-days overload-scale overloadcost takeover crowd fleetsim fleetscale mutants figures
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -65,6 +65,12 @@
 replace: build
 	bin/cairnctl trial replace --seed $(SEED)
 
+# Plays misbehaving clients against a real process with little memory, with the settings of both sites; takes under 5 minutes. SEED=n sets the seed,
+# MEMORY=n the process's memory_mb.
+MEMORY ?= 32
+misuse: build
+	bin/cairnctl trial misuse --seed $(SEED) --memory $(MEMORY)
+
 # Builds the program with the switches that trials need: simulated clock rates and offsets, simulated full disks, and boxes that act on a fake
 # resource.
 trial: build
--- a/internal/lab/misuse/misuse.go
+++ b/internal/lab/misuse/misuse.go
@@ -62,6 +62,8 @@
 	{name: "half a request", crowd: true, play: (*client).stopHalfWay},
 	{name: "many fields crowd", crowd: true, play: (*client).manyFields},
 	{name: "unsound crowd", crowd: true, play: (*client).unsound},
+	{name: "new names crowd", crowd: true, play: (*client).newNames},
+	{name: "new keys crowd", crowd: true, keyed: true, play: (*client).newNames},
 	{name: "leaving", clients: 2, play: (*client).leave},
 	{name: "leaving keyed", clients: 2, keyed: true, play: (*client).leave},
 	{name: "leaving keyed shared", clients: 2, keyed: true, play: (*client).leave, processes: 1},
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -62,6 +62,9 @@
 	ProtocolError      ExceptionCode = 7
 )
 
+// minEntry is the size of the shortest entry of a map of strings to strings: the lengths of two empty strings.
+const minEntry = 8
+
 const (
 	version     = uint32(0x80010000)
 	versionMask = uint32(0xffff0000)
@@ -189,6 +192,10 @@
 		r.fail("map of %d entries from type %d to type %d", n, key, value)
 		return nil
 	}
+	if int(n) > len(r.buf)/minEntry {
+		r.fail("map of %d entries in %d bytes", n, len(r.buf))
+		return nil
+	}
 	m := make(map[string]string, n)
 	for ; n > 0 && r.err == nil; n-- {
 		k := string(r.Binary())
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -74,6 +74,11 @@
 			r.Skip(List)
 			return r.Err()
 		},
+		"map of more entries than bytes": func() error {
+			r := NewReader(append([]byte{11, 11, 0, 0, 1, 0}, make([]byte, minEntry*255)...))
+			r.StringMap()
+			return r.Err()
+		},
 		"map of integers": func() error { r := NewReader([]byte{8, 8, 0, 0, 0, 1}); r.StringMap(); return r.Err() },
 		"nested too deep": func() error { r := NewReader(deep); r.Skip(Struct); return r.Err() },
 		"unknown type":    func() error { r := NewReader(nil); r.Skip(99); return r.Err() },
