--- a/cmd/cairnctl/main.go
+++ b/cmd/cairnctl/main.go
@@ -85,13 +85,13 @@
 			Command []string `default:"bin/cairnlane" help:"Starts a replica."`
 		} `cmd:"" help:"Replace real replica processes under load on loopback, one in three with a kill."`
 		Misuse struct {
-			Seed    uint64        `default:"1" help:"Draws load and clients."`
-			Sites   []string      `default:"examples/config.json,examples/images/config.json" help:"The settings to play with, one after the other."`
-			Memory  int           `default:"32" help:"The process's memory_mb."`
-			Crowd   int           `default:"400" help:"Clients of a crowd."`
-			Span    time.Duration `default:"5s" help:"How long each picture lasts."`
-			Picture []string      `help:"Play these pictures only."`
-			Command []string      `default:"bin/cairnlane" help:"Starts a replica."`
+			Seed     uint64        `default:"1" help:"Draws load and clients."`
+			Sites    []string      `default:"examples/config.json,examples/images/config.json" help:"The settings to play with, one after the other."`
+			Memory   int           `default:"32" help:"The process's memory_mb."`
+			Crowd    int           `default:"400" help:"Clients of a crowd."`
+			Span     time.Duration `default:"5s" help:"How long each scenario lasts."`
+			Scenario []string      `help:"Play these scenarios only."`
+			Command  []string      `default:"bin/cairnlane" help:"Starts a replica."`
 		} `cmd:"" help:"Have clients misbehave against a real process with little memory on loopback."`
 		Leases struct {
 			Seed     uint64        `default:"1" help:"Draws faults, load and clocks."`
@@ -476,7 +476,7 @@
 	played := 0
 	for _, site := range t.Sites {
 		fmt.Fprintln(w, site)
-		results, err := misuse.Run(misuse.Config{Seed: t.Seed, Command: t.Command, Site: site, MemoryMB: t.Memory, Crowd: t.Crowd, Span: t.Span, Pictures: t.Picture}, w)
+		results, err := misuse.Run(misuse.Config{Seed: t.Seed, Command: t.Command, Site: site, MemoryMB: t.Memory, Crowd: t.Crowd, Span: t.Span, Scenarios: t.Scenario}, w)
 		if err != nil {
 			return err
 		}
@@ -487,7 +487,7 @@
 			}
 		}
 	}
-	return printResult(w, fmt.Sprintf("figures: pictures=%d missed=%d", played, len(missed)), nil, missed)
+	return printResult(w, fmt.Sprintf("figures: scenarios=%d missed=%d", played, len(missed)), nil, missed)
 }
 
 // leases runs the leases trial. If bounds are missed it prints the schedule of faults and, with --shrink, a shorter one that
--- a/internal/assert/assert.go
+++ b/internal/assert/assert.go
@@ -32,8 +32,7 @@
 	return false
 }
 
-// CountPanic handles the value recovered from a panic in a connection's callback; without it netpoll's goroutine pool would only
-// log the panic. The value and the stack are written to standard error. Builds with the debug tag then exit with status 2; in
+// CountPanic handles the value recovered from a panic in the processing of a connection's input. The value and the stack are written to standard error. Builds with the debug tag then exit with status 2; in
 // release builds the panic is counted like a failed check and the caller closes only that connection.
 func CountPanic(where string, recovered any) {
 	fmt.Fprintf(os.Stderr, "cairnlane: panic at %s: %v\n%s", where, recovered, debug.Stack())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	reservedSockets = 48  // descriptors reserved for links, the poller and the runtime
+	reservedSockets = 48  // descriptors reserved for links and the runtime
 	memoryShare     = 0.7 // part of the memory limit that the Go runtime may use
 	// Parts of the memory that buffers may use, as divisors: an eighth each for results kept for retries and for
 	// output that the engine has not read yet, and a sixth for messages that the other process of a replacement has
--- a/internal/lab/misuse/misuse.go
+++ b/internal/lab/misuse/misuse.go
@@ -4,17 +4,11 @@
 package misuse
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,22 +19,21 @@
 	"cairnlane/internal/fake/index"
 	"cairnlane/internal/fake/router"
 	"cairnlane/internal/lab/rig"
-	"cairnlane/internal/operator"
 )
 
 // Config holds the settings of a trial.
 type Config struct {
-	Seed     uint64
-	Command  []string // starts a replica
-	Site     string   // path of the settings, as in examples/config.json
-	MemoryMB int      // memory_mb of the process
-	Crowd    int      // clients of a crowd
-	Span     time.Duration
-	Pictures []string // names of the pictures to play; empty: all
+	Seed      uint64
+	Command   []string // starts a replica
+	Site      string   // path of the settings, as in examples/config.json
+	MemoryMB  int      // memory_mb of the process
+	Crowd     int      // clients of a crowd
+	Span      time.Duration
+	Scenarios []string // names of the scenarios to play; empty: all
 }
 
-// picture is a kind of misuse.
-type picture struct {
+// scenario is a kind of misuse.
+type scenario struct {
 	name    string
 	clients int
 	crowd   bool // as many clients as Config.Crowd
@@ -51,7 +44,7 @@
 	processes int
 }
 
-var pictures = []picture{
+var scenarios = []scenario{
 	{name: "unsound", clients: 1, play: (*client).unsound},
 	{name: "new names", clients: 1, play: (*client).newNames},
 	{name: "new keys", clients: 1, keyed: true, play: (*client).newNames},
@@ -96,59 +89,17 @@
 	settledPeriod = 500 * time.Millisecond
 )
 
-// Result is the result of one picture.
-type Result struct {
-	Picture        string
-	IdleKB, MostKB int   // anonymous memory before the clients began, and at the most
-	LimitKB        int   // memory_mb
-	Written        int64 // bytes that the clients wrote
-	Read           int64 // bytes that the process read from its connections
-	Usual          rig.Tally
-	RunsAfterLeave int    // runs that began later than leaveSlack after their client had left
-	DoubleRuns     int    // keyed requests that ran more than once
-	Ended          bool   // the process ended by itself
-	Closed         string // reasons for which the processes closed connections, with their numbers
-	Notes          string
-}
-
-// FailedBounds returns the bounds that were not met.
-func (r *Result) FailedBounds() (list []string) {
-	if r.Ended {
-		list = append(list, r.Picture+": the process ended")
-	}
-	if r.MostKB > r.LimitKB {
-		list = append(list, fmt.Sprintf("%s: %d KB of memory, the limit is %d", r.Picture, r.MostKB, r.LimitKB))
-	}
-	if unanswered := r.Usual.Lost + r.Usual.Late; unanswered*1000 > lostPerMille*r.Usual.Requests {
-		list = append(list, fmt.Sprintf("%s: %d of %d usual requests had no answer in their time", r.Picture, unanswered, r.Usual.Requests))
-	}
-	if r.DoubleRuns > 0 {
-		list = append(list, fmt.Sprintf("%s: %d keyed requests ran twice", r.Picture, r.DoubleRuns))
-	}
-	if r.RunsAfterLeave > 0 {
-		list = append(list, fmt.Sprintf("%s: %d runs began after their client had left", r.Picture, r.RunsAfterLeave))
-	}
-	return list
-}
-
-// String returns the result as one line.
-func (r *Result) String() string {
-	return fmt.Sprintf("%-20s memory_kb=%d..%d of %d written_mb=%.1f read_mb=%.1f usual=%d served=%d refused=%d failed=%d lost=%d late=%d not_accepted=%d runs_after_leave=%d double_runs=%d closed=[%s]%s",
-		r.Picture, r.IdleKB, r.MostKB, r.LimitKB, float64(r.Written)/bytesPerMB, float64(r.Read)/bytesPerMB, r.Usual.Requests, r.Usual.Served, r.Usual.Rejected, r.Usual.Failed, r.Usual.Lost,
-		r.Usual.Late, r.Usual.ConnectionRefused, r.RunsAfterLeave, r.DoubleRuns, strings.TrimSpace(r.Closed), r.Notes)
-}
+// ErrUnknownScenario is returned for a scenario that does not exist.
+var ErrUnknownScenario = errors.New("misuse: unknown scenario")
 
-// ErrUnknownPicture is returned for a picture that does not exist.
-var ErrUnknownPicture = errors.New("misuse: unknown picture")
-
-// Run plays the pictures one after the other, each against a new process, and prints each result to progress.
+// Run plays the scenarios one after the other, each against a new process, and prints each result to progress.
 func Run(cfg Config, progress io.Writer) (results []*Result, err error) {
 	chosen := map[string]bool{}
-	for _, name := range cfg.Pictures {
+	for _, name := range cfg.Scenarios {
 		chosen[name] = true
 	}
-	for _, p := range pictures {
-		if len(cfg.Pictures) > 0 && !chosen[p.name] {
+	for _, p := range scenarios {
+		if len(cfg.Scenarios) > 0 && !chosen[p.name] {
 			continue
 		}
 		delete(chosen, p.name)
@@ -160,12 +111,12 @@
 		results = append(results, r)
 	}
 	for name := range chosen {
-		return results, fmt.Errorf("%w: %s", ErrUnknownPicture, name)
+		return results, fmt.Errorf("%w: %s", ErrUnknownScenario, name)
 	}
 	return results, nil
 }
 
-// trial is one picture that is being played.
+// trial is one scenario that is being played.
 type trial struct {
 	cfg       Config
 	dir       string
@@ -180,8 +131,8 @@
 	result    *Result
 }
 
-func play(cfg Config, p picture) (*Result, error) {
-	tr := &trial{cfg: cfg, result: &Result{Picture: p.name, LimitKB: cfg.MemoryMB * bytesPerKB}}
+func play(cfg Config, p scenario) (*Result, error) {
+	tr := &trial{cfg: cfg, result: &Result{Scenario: p.name, LimitKB: cfg.MemoryMB * bytesPerKB}}
 	defer tr.close()
 	if err := tr.start(p.processes); err != nil {
 		return nil, err
@@ -262,192 +213,3 @@
 		}
 	}
 }
-
-// start starts the fakes and the processes.
-func (tr *trial) start(processes int) (err error) {
-	if tr.dir, err = rig.TempDir(); err != nil {
-		return err
-	}
-	if tr.traffic, err = rig.ReadTraffic(tr.cfg.Site); err != nil {
-		return err
-	}
-	tr.engine = engine.New(func(string) time.Duration { return runTime })
-	if tr.catalog, err = catalog.Start(); err != nil {
-		return err
-	}
-	if tr.traffic.Calls {
-		tr.engine.SetIndexCalls(true)
-		if tr.index, err = index.Start(rig.IndexCallTime); err != nil {
-			return err
-		}
-	}
-	if tr.listen, err = rig.FreeAddr(); err != nil {
-		return err
-	}
-	if processes > 0 {
-		ln, err := net.Listen("tcp", tr.listen)
-		if err != nil {
-			return err
-		}
-		tr.shared = ln.(*net.TCPListener)
-	}
-	for range max(processes, 1) {
-		if err := tr.startProcess(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// startProcess starts a process and waits until it accepts clients.
-func (tr *trial) startProcess() error {
-	operators, err := rig.FreeAddr()
-	if err != nil {
-		return err
-	}
-	path, err := tr.writeConfig()
-	if err != nil {
-		return err
-	}
-	cmd := exec.Command(tr.cfg.Command[0], tr.cfg.Command[1:]...)
-	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_CONTROL="+operators, "TMPDIR="+tr.dir)
-	if tr.shared != nil {
-		f, err := tr.shared.File()
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		cmd.ExtraFiles = []*os.File{f}
-		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
-	}
-	process, err := rig.Start(cmd, nil)
-	if err != nil {
-		return err
-	}
-	tr.processes = append(tr.processes, process)
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(sampleInterval) {
-		if _, err = operator.Call(operators, "check", time.Second); err == nil {
-			return nil
-		}
-	}
-	return fmt.Errorf("the process does not accept clients: %w: %s", err, process.Output())
-}
-
-// anyEnded reports whether a process has ended by itself.
-func (tr *trial) anyEnded() bool {
-	for _, p := range tr.processes {
-		select {
-		case <-p.Done():
-			return true
-		default:
-		}
-	}
-	return false
-}
-
-// writeConfig writes the process's configuration and returns its path.
-func (tr *trial) writeConfig() (path string, err error) {
-	raw, err := os.ReadFile(tr.cfg.Site)
-	if err != nil {
-		return "", err
-	}
-	var config map[string]any
-	if err := json.Unmarshal(raw, &config); err != nil {
-		return "", err
-	}
-	address, err := tr.engine.Listen() // each process has one of its own
-	if err != nil {
-		return "", err
-	}
-	tr.addresses = append(tr.addresses, address)
-	config["listen"], config["engine"], config["directory"] = tr.listen, address.String(), tr.catalog.String()
-	if tr.index != nil {
-		config["index"] = tr.index.String()
-	}
-	config["limits"] = map[string]any{"cores": 1.0, "memory_mb": tr.cfg.MemoryMB, "sockets": sockets}
-	if raw, err = json.Marshal(config); err != nil {
-		return "", err
-	}
-	path = filepath.Join(tr.dir, fmt.Sprintf("config-%d.json", len(tr.addresses)))
-	return path, os.WriteFile(path, raw, 0o600)
-}
-
-// close ends the process and the fakes.
-func (tr *trial) close() {
-	for _, p := range tr.processes {
-		p.Kill()
-	}
-	for _, a := range tr.addresses {
-		a.Close()
-	}
-	if tr.shared != nil {
-		tr.shared.Close()
-	}
-	if tr.catalog != nil {
-		tr.catalog.Close()
-	}
-	if tr.index != nil {
-		tr.index.Close()
-	}
-	os.RemoveAll(tr.dir)
-}
-
-// memoryKB returns the anonymous memory of all processes together.
-func (tr *trial) memoryKB() (sum int) {
-	for _, p := range tr.processes {
-		sum += anonymousKB(p.Pid())
-	}
-	return sum
-}
-
-// anonymousKB returns the anonymous memory of a process, or 0 if it has ended.
-func anonymousKB(pid int) int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(raw)) {
-		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
-			kb, _ := strconv.Atoi(strings.Fields(value)[0])
-			return kb
-		}
-	}
-	return 0
-}
-
-// readCounters sets what the processes say of their connections: the bytes that they have read, and why they ended connections.
-func (tr *trial) readCounters() {
-	for _, p := range tr.processes {
-		for name, n := range counters(p) {
-			reason, ended := strings.CutPrefix(name, "connections_ended_")
-			switch {
-			case name == "bytes_in":
-				tr.result.Read += n
-			case ended && n > 0:
-				tr.result.Closed += fmt.Sprintf(" %s=%d", reason, n)
-			}
-		}
-	}
-}
-
-// counters returns the counters that a process prints when it is asked to, or none if it does not answer.
-func counters(p *rig.Process) map[string]int64 {
-	values := map[string]int64{}
-	if p.Signal(reportSignal) != nil {
-		return values
-	}
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(sampleInterval) {
-		_, printed, found := strings.Cut(p.Output(), "counters: ")
-		if !found {
-			continue
-		}
-		for _, word := range strings.Fields(printed) {
-			name, value, _ := strings.Cut(word, "=")
-			if n, err := strconv.ParseInt(strings.TrimRight(value, "\"}"), 10, 64); err == nil {
-				values[name] = n
-			}
-		}
-		break
-	}
-	return values
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -224,7 +224,7 @@
 func (r *Replica) callModule(method func()) {
 	assert.That(!r.inModule, "the module is not called from within its own actions")
 	r.inModule = true
-	defer func() { r.inModule = false }() // also after a panic: netpoll's pool recovers it as the end of one connection
+	defer func() { r.inModule = false }() // also after a panic, which ends one connection only
 	method()
 }
 
