Front tests: shut the gate without waiting for the acceptor

Cause, from its stacks: shutGate drained the signal of an acceptor that already waited at the gate and then waited for another one, which never comes.

Change: shutGate takes the lock only. The listener accepts under the same lock, so nothing is accepted while it is held.

--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -23,8 +23,7 @@
 // gatedListener is a listener that does not accept while the gate is shut, so that connections stay in the kernel's backlog.
 type gatedListener struct {
 	*net.TCPListener
-	mu      sync.Mutex // held while the gate is shut
-	reached chan struct{}
+	mu sync.Mutex // held while the gate is shut, and while a connection is accepted
 }
 
 // gatePeriod is how long the listener waits for a connection before it looks at the gate again.
@@ -32,10 +31,6 @@
 
 func (g *gatedListener) Accept() (net.Conn, error) {
 	for {
-		select {
-		case g.reached <- struct{}{}:
-		default:
-		}
 		conn, err := g.acceptOnce()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
@@ -124,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	st.gate = &gatedListener{TCPListener: s.ln, reached: make(chan struct{}, 1)}
+	st.gate = &gatedListener{TCPListener: s.ln}
 	s.acceptor.tcpListener = st.gate
 	s.backlogTimeout = time.Minute
 	st.Server = s
@@ -172,15 +167,8 @@
 	}
 }
 
-// shutGate keeps the server from accepting.
-func (st *controlledServer) shutGate() {
-	st.gate.mu.Lock()
-	select {
-	case <-st.gate.reached:
-	default:
-	}
-	<-st.gate.reached // the server waits at the gate, or is about to
-}
+// shutGate keeps the server from accepting. The server does not accept while the gate's lock is held.
+func (st *controlledServer) shutGate() { st.gate.mu.Lock() }
 
 // connectionEnded reports whether the server has closed a connection on which no more output is expected.
 func connectionEnded(c net.Conn) bool {
