Recover a panic while the calls of an ended connection are given up

Need: found when the change was read again. The calls of an ended connection are given up on its goroutine, outside what recovers panics, so a panic in the core there would have ended the process with all requests.

Change: the same recovery is deferred around both calls of the core.

Evidence: TestPanicAtTheEndOfAConnectionIsCounted ended its test process without the recovery, and passes with it.

--- a/internal/front/panic_test.go
+++ b/internal/front/panic_test.go
@@ -41,3 +41,34 @@
 		t.Errorf("%d failures counted", n)
 	}
 }
+
+// waitingCore is a Core that answers nothing and panics when a call is given up.
+type waitingCore struct {
+	echoCore
+	arrived chan struct{}
+}
+
+func (w *waitingCore) CallerGone(string) { panic("of a test") }
+
+func (w *waitingCore) Arrive(replica.Request) error {
+	w.arrived <- struct{}{}
+	return nil
+}
+
+// TestPanicAtTheEndOfAConnectionIsCounted guards against a process that ends with one connection: a panic while its open calls were
+// given up was not recovered.
+func TestPanicAtTheEndOfAConnectionIsCounted(t *testing.T) {
+	before := assert.Failures()
+	core := &waitingCore{arrived: make(chan struct{}, 1)}
+	s := serveCore(t, 100, core)
+	leaving, other := dial(t, s), dial(t, s)
+	leaving.Write(callMessage("serve", 1, requestFields(), ""))
+	<-core.arrived
+	leaving.Close()
+	eventually(t, "the panic to be counted", func() bool { return assert.Failures() == before+1 })
+	eventually(t, "the end of one connection", func() bool { return s.Connections() == 1 })
+	other.Write(callMessage("isWell", 1, nil, ""))
+	if _, ok := receive(t, other); !ok {
+		t.Error("another connection is closed as well")
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -251,8 +251,17 @@
 	default:
 	}
 	s.count.closed.Inc()
+	defer c.out.Close()
+	defer s.recoverPanic(c)
 	c.endCalls()
-	c.out.Close()
+}
+
+// recoverPanic makes a panic end one connection only. It is deferred around the calls of the core.
+func (s *Server) recoverPanic(c *conn) {
+	if p := recover(); p != nil {
+		assert.CountPanic("a router connection", p)
+		s.requestClose(c, conns.Broken)
+	}
 }
 
 // endTurn ends a turn once all other goroutines that can run have had theirs. Without that, readers would hand their turns to each
@@ -276,12 +285,7 @@
 // feed passes input to the session, which must have been entered. It closes the connection if the input is malformed, or if its
 // handling panics.
 func (s *Server) feed(c *conn, p []byte) {
-	defer func() {
-		if p := recover(); p != nil {
-			assert.CountPanic("a router connection", p)
-			s.requestClose(c, conns.Broken)
-		}
-	}()
+	defer s.recoverPanic(c)
 	s.count.bytesIn.Add(len(p))
 	err := c.feed(p)
 	c.exit()
